--- /dev/null
+++ b/crates/benchlink/src/main.rs
@@ -0,0 +1,354 @@
+//! The bench's wire in front of the decision module: frames in, calls on the module, frames out.
+
+mod facts;
+mod host;
+mod wire;
+
+use host::{ms, Host, Taken};
+use magpiewick::{Command, Condition, Entry, News, Outcome};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, Read, Write};
+use wire::{Fault, Fields, Reply};
+
+const HEADER: usize = 20;
+const TABLES: usize = 16;
+const ENTRY: usize = 22;
+
+/// What a batch's events name: the tables and the instances of this process.
+#[derive(Default)]
+struct Process {
+    tables: [Option<Vec<(u32, Entry)>>; TABLES],
+    hosts: BTreeMap<u32, Instance>,
+}
+
+/// An instance with the counts that its events' fields must stay under.
+struct Instance {
+    host: Host,
+    bands: usize,
+    plans: usize,
+}
+
+impl Process {
+    fn batch(&mut self, frame: &[u8], reply: &mut Reply) -> Result<(), Fault> {
+        let mut f = Fields::new(frame);
+        let now = f.u64("the clock")?;
+        f.u32("the length")?;
+        let records = f.u32("the number of records")?;
+        reply.open(f.u32("the number of the batch")?);
+        let mut touched = BTreeSet::new();
+        for _ in 0..records {
+            let code = f.u8("a record's code")?;
+            match code {
+                3 => self.table(&mut f)?,
+                1 | 2 | 4..=11 => {
+                    let number = f.u32("the instance")?;
+                    touched.insert(number);
+                    self.event(code, number, now, &mut f, reply)?;
+                }
+                _ => return Err(f.fault(format_args!("unknown record code {code}"))),
+            }
+        }
+        if !f.at_end() {
+            return Err(f.fault("the frame goes on behind its last record"));
+        }
+        for number in touched {
+            if let Some(i) = self.hosts.get_mut(&number) {
+                i.host.run(now, reply);
+            }
+        }
+        Ok(())
+    }
+
+    fn table(&mut self, f: &mut Fields) -> Result<(), Fault> {
+        let number = usize::from(f.u16("a table's number")?);
+        if number >= TABLES {
+            return Err(f.fault(format_args!("impossible table number {number}")));
+        }
+        let count = f.u32("a table's length")? as usize;
+        f.holds(count.saturating_mul(ENTRY), "a table")?;
+        let mut entries = Vec::with_capacity(count);
+        for _ in 0..count {
+            let id = f.u32("a node")?;
+            let zone = usize::from(f.u16("a zone")?);
+            f.u8("a machine type")?;
+            let shard = usize::from(f.u16("a shard")?);
+            let condition = match f.u8("a condition")? {
+                0 => Condition::Ready,
+                2 => Condition::Draining,
+                3 => Condition::Gone,
+                other => return Err(f.fault(format_args!("impossible node condition {other} in a table"))),
+            };
+            f.f32("a nominal size")?;
+            let started = f.u64("a start time")?;
+            let started = (started != 0).then(|| ms(started));
+            entries.push((id, Entry { node: 0, zone, shard, condition, started }));
+        }
+        self.tables[number] = Some(entries);
+        Ok(())
+    }
+
+    fn event(
+        &mut self,
+        code: u8,
+        number: u32,
+        now: u64,
+        f: &mut Fields,
+        reply: &mut Reply,
+    ) -> Result<(), Fault> {
+        if code == 6 {
+            let seed = f.u64("a seed")?;
+            let length = f.u32("the settings' length")? as usize;
+            let text = f.take(length, "the settings")?;
+            let text = std::str::from_utf8(text).map_err(|_| f.fault("the settings are not text"))?;
+            let start = facts::start(seed, text)?;
+            let (bands, plans) = (start.bands.len(), start.plans.len());
+            self.hosts.insert(number, Instance { host: Host::new(number, start, now), bands, plans });
+            return Ok(());
+        }
+        let unknown = f.fault(format_args!("an event for instance {number}, which does not run"));
+        let Some(i) = self.hosts.get_mut(&number) else { return Err(unknown) };
+        match code {
+            1 => {
+                f.take(8 + 4 + 8 + 2, "the start of a stream")?;
+            }
+            2 => {
+                let taken = command(f, i)?;
+                i.host.take(now, taken, reply);
+            }
+            4 => {
+                let id = f.u64("a command")?;
+                f.u16("a hand-off")?;
+                f.u32("a node")?;
+                let outcome = outcome(f)?;
+                let took = f.u64("a latency")?;
+                let over = f.u8("an end mark")? != 0;
+                f.u16("a use")?;
+                f.u16("a count of others")?;
+                report(f)?;
+                i.host.verdict(now, id, outcome, took, over, reply);
+            }
+            5 => {
+                f.u16("a sender")?;
+                let length = usize::from(f.u16("a message's length")?);
+                f.take(length, "a message")?;
+            }
+            7 => {
+                let table = usize::from(f.u16("a table's number")?);
+                f.u64("a version")?;
+                let news = match f.u8("a list's mode")? {
+                    0 => News::Changes,
+                    1 => News::Whole,
+                    2 => News::Remembered,
+                    3 => News::Failed,
+                    other => return Err(f.fault(format_args!("impossible list mode {other}"))),
+                };
+                let entries = match news {
+                    News::Failed => &[][..],
+                    _ => match self.tables.get(table).and_then(|t| t.as_deref()) {
+                        Some(entries) => entries,
+                        None => return Err(f.fault(format_args!("table {table} was never sent"))),
+                    },
+                };
+                i.host.listed(now, news, entries);
+            }
+            8 => i.host.abandoned(now, f.u64("a command")?),
+            9 => {
+                f.u32("a node")?;
+                outcome(f)?;
+                f.u64("a latency")?;
+                report(f)?;
+            }
+            10 => {
+                self.hosts.remove(&number);
+            }
+            _ => i.host.reminded(f.u32("a timer's label")?),
+        }
+        Ok(())
+    }
+}
+
+fn command(f: &mut Fields, i: &Instance) -> Result<Taken, Fault> {
+    let id = f.u64("a command")?;
+    let band = usize::from(f.u16("a band")?);
+    let plan = usize::from(f.u16("a plan")?);
+    if band >= i.bands || plan >= i.plans.max(1) {
+        return Err(
+            f.fault(format_args!("a command of band {band} and plan {plan}, which were never stated"))
+        );
+    }
+    let key = f.u64("a key")?;
+    let time_limit = ms(f.u64("a time limit")?);
+    let volume = f.u64("a volume")?;
+    let units = f.f32("a size")?;
+    let shard = f.f32("a shard")?;
+    let hosts = f.f32("a number of hosts")?;
+    f.u8("a command's marks")?;
+    if units < 0.0 || hosts < 0.0 || shard < -1.0 || shard > f64::from(u16::MAX) || shard.fract() != 0.0 {
+        return Err(f.fault(format_args!("a command of {units} units for shard {shard} over {hosts} hosts")));
+    }
+    let shard = (shard >= 0.0).then_some(shard as usize);
+    let command =
+        Command { band, plan, volume: 0, key: None, units, shard, hosts: hosts.max(1.0), time_limit };
+    Ok(Taken { id, key, volume, command })
+}
+
+fn outcome(f: &mut Fields) -> Result<Outcome, Fault> {
+    Ok(match f.u16("an outcome")? {
+        10 => Outcome::Settled,
+        20 => Outcome::Error,
+        30 => Outcome::Full,
+        40 => Outcome::TimedOut,
+        50 => Outcome::NoConnection,
+        60 => Outcome::Reset,
+        70 => Outcome::Cancelled,
+        80 => Outcome::Moot,
+        other => return Err(f.fault(format_args!("unknown outcome {other}"))),
+    })
+}
+
+fn report(f: &mut Fields) -> Result<(), Fault> {
+    for _ in 0..f.u8("a load report's length")? {
+        f.f32("a load report")?;
+    }
+    Ok(())
+}
+
+/// Reads one frame into `frame`; false at the end of the input. The frame grows with what comes, not with
+/// what its header promises.
+fn read_frame(input: &mut impl Read, frame: &mut Vec<u8>) -> Result<bool, Fault> {
+    let failed = |e: io::Error| format!("the input cannot be read: {e}");
+    frame.clear();
+    input.by_ref().take(HEADER as u64).read_to_end(frame).map_err(failed)?;
+    if frame.is_empty() {
+        return Ok(false);
+    }
+    if frame.len() < HEADER {
+        return Err(format!("the input ends at byte {} of a frame's header", frame.len()));
+    }
+    let length = u32::from_le_bytes([frame[8], frame[9], frame[10], frame[11]]) as usize;
+    if length < HEADER {
+        return Err(format!("a frame's length of {length} is less than its header, at byte 8 of the frame"));
+    }
+    input.by_ref().take((length - HEADER) as u64).read_to_end(frame).map_err(failed)?;
+    if frame.len() < length {
+        return Err(format!("the input ends at byte {} of a frame of {length}", frame.len()));
+    }
+    Ok(true)
+}
+
+fn run() -> Result<(), Fault> {
+    let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
+    let (mut process, mut frame, mut reply) = (Process::default(), Vec::new(), Reply::default());
+    while read_frame(&mut input, &mut frame)? {
+        process.batch(&frame, &mut reply)?;
+        let written = output.write_all(reply.close()?).and_then(|()| output.flush());
+        written.map_err(|e| format!("the output cannot be written: {e}"))?;
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(fault) = run() {
+        eprintln!("magpiewick-benchlink: {}", fault.replace('\n', " "));
+        std::process::exit(1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FACTS: &str = "round_ns=2000000\nprofiles.count=1\nprofiles.0.slo_ns=200000000\n\
+        profiles.0.semantics=idempotent\nservice_levels.count=1\nlimits.max_attempts=3\nodd.key=x";
+
+    fn frame(records: &[&[u8]]) -> Vec<u8> {
+        let body = records.concat();
+        let mut bytes = 9_000_000_000u64.to_le_bytes().to_vec();
+        bytes.extend_from_slice(&((HEADER + body.len()) as u32).to_le_bytes());
+        bytes.extend_from_slice(&(records.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&7u32.to_le_bytes());
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+
+    fn begun(facts: &str) -> Vec<u8> {
+        let mut record = Reply::default();
+        record.u8(6).u32(3).u64(1).u32(facts.len() as u32);
+        [&record.bytes, facts.as_bytes()].concat()
+    }
+
+    fn table(node: u32) -> Vec<u8> {
+        let mut record = Reply::default();
+        record.u8(3).u16(0).u32(1).u32(node).u16(0).u8(0).u16(5).u8(0).u32(1f32.to_bits()).u64(0);
+        record.bytes
+    }
+
+    fn listed() -> Vec<u8> {
+        let mut record = Reply::default();
+        record.u8(7).u32(3).u16(0).u64(1).u8(2);
+        record.bytes
+    }
+
+    fn taken(id: u64) -> Vec<u8> {
+        let mut record = Reply::default();
+        record.u8(2).u32(3).u64(id).u16(0).u16(0).u64(9).u64(1_000_000_000).u64(4);
+        record.u32(2f32.to_bits()).u32(5f32.to_bits()).u32(1f32.to_bits()).u8(0);
+        record.bytes
+    }
+
+    fn answer(records: &[&[u8]]) -> Result<Vec<u8>, Fault> {
+        let (mut input, mut frame_read) = (io::Cursor::new(frame(records)), Vec::new());
+        let (mut process, mut reply) = (Process::default(), Reply::default());
+        read_frame(&mut input, &mut frame_read)?;
+        process.batch(&frame_read, &mut reply)?;
+        Ok(reply.close()?.to_vec())
+    }
+
+    fn call_out(id: u64, node: u32) -> Vec<u8> {
+        let mut action = Reply::default();
+        action.u8(3).u32(3).u64(id).u32(node);
+        action.bytes
+    }
+
+    fn holds(bytes: &[u8], part: &[u8]) -> bool {
+        bytes.windows(part.len()).any(|w| w == part)
+    }
+
+    #[test]
+    fn an_empty_batch_has_an_empty_reply() {
+        assert_eq!(answer(&[]).unwrap(), [8, 0, 0, 0, 7, 0, 0, 0]);
+    }
+
+    #[test]
+    fn tables_count_in_the_order_of_events() {
+        let reply =
+            answer(&[&begun(FACTS), &table(70), &listed(), &taken(11), &table(80), &listed(), &taken(12)])
+                .unwrap();
+        assert!(holds(&reply, &call_out(11, 70)) && holds(&reply, &call_out(12, 80)));
+    }
+
+    #[test]
+    fn a_new_start_in_the_same_batch_forgets_what_was_held() {
+        let killed = [&[10u8][..], &3u32.to_le_bytes()].concat();
+        let (start, list) = (begun(FACTS), listed());
+        let reply = answer(&[&start, &table(70), &list, &killed, &start, &list, &taken(12)]).unwrap();
+        assert!(holds(&reply, &call_out(12, 70)));
+        assert!(answer(&[&start, &table(70), &list, &killed, &taken(12)]).is_err());
+    }
+
+    #[test]
+    fn bad_input_is_named_with_its_place() {
+        let fault = |records: &[&[u8]]| answer(records).unwrap_err();
+        assert!(fault(&[&[99]]).contains("unknown record code 99"));
+        assert!(fault(&[&[3, 0, 0, 255, 255, 255, 255]]).contains("a table is cut short at byte 27"));
+        assert!(fault(&[&begun(FACTS), &[11, 3]]).contains("the instance is cut short"));
+        let bad = FACTS.replace("slo_ns=200000000", "slo_ns=soon");
+        assert!(fault(&[&begun(&bad)]).contains("profiles.0.slo_ns"));
+        let missing = FACTS.replace("round_ns", "other");
+        assert!(fault(&[&begun(&missing)]).contains("round_ns is missing"));
+        let mut long = frame(&[]);
+        long[8] = 200;
+        assert!(read_frame(&mut io::Cursor::new(&long), &mut Vec::new()).unwrap_err().contains("byte 20"));
+        assert!(read_frame(&mut io::Cursor::new(&long[..5]), &mut Vec::new()).is_err());
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,745 @@
+//! Every decision of a host. A caller asks through `place` (where to send this command), `after` (what to do
+//! after this outcome) and `wait` (how long to wait, repeated until it names a time); `listed` and
+//! `given_up` are notes that return nothing. The types of the interface are in `terms.rs`, the mechanism
+//! and its departures in `docs/design.md`.
+
+use crate::terms::*;
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The window of hand-offs out at one node: the design's floor, start and ceiling, and the floor of the
+/// departure that acts while a node answers slower than `TIGHT` of the shortest soft limit.
+const FLOOR: f64 = 4.0;
+const CEILING: f64 = 32.0;
+const JAM_FLOOR: f64 = 1.0;
+const TIGHT: f64 = 0.5;
+/// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
+const NEAR_BEST: f64 = 1.5;
+const FAR_FROM_BEST: f64 = 2.5;
+const NARROWING: f64 = 0.05;
+/// How much one answer moves the smoothed latency.
+const SMOOTHING: f64 = 0.15;
+/// Recent best: buckets of this length, kept this many, each judged by its mean of at least three answers.
+const BEST_SLOT: Ms = 1000.0;
+const BEST_SLOTS: usize = 12;
+/// A volume counts into the weights at a node for this long after its last command there.
+const SEEN: Ms = 2000.0;
+/// A node that answers nothing for this long, and for this multiple of its latency, is silent.
+const SILENT_AFTER: Ms = 300.0;
+const SILENT_TIMES: f64 = 4.0;
+/// Waits between tries at a silent or refusing node: the first, doubled up to the last.
+const FIRST_REST: Ms = 50.0;
+const LAST_REST: Ms = 1600.0;
+/// How long a host sleeps at most while it holds commands that nothing else would wake it for.
+const NAP: Ms = 5.0;
+/// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
+const PARTS: usize = 20;
+
+/// Sums over fixed buckets of time, used again in a ring.
+struct Ring {
+    slot: Ms,
+    at: i64,
+    sums: Vec<(f64, f64)>,
+}
+
+impl Ring {
+    fn new(slot: Ms, slots: usize) -> Ring {
+        Ring { slot, at: i64::MIN / 2, sums: vec![(0.0, 0.0); slots + 1] }
+    }
+
+    fn turn(&mut self, now: Ms) -> usize {
+        let at = (now / self.slot).floor() as i64;
+        let n = self.sums.len() as i64;
+        for past in (self.at + 1).max(at - n + 1)..=at {
+            self.sums[past.rem_euclid(n) as usize] = (0.0, 0.0);
+        }
+        self.at = self.at.max(at);
+        self.at.rem_euclid(n) as usize
+    }
+
+    fn add(&mut self, now: Ms, value: f64) {
+        let i = self.turn(now);
+        self.sums[i].0 += value;
+        self.sums[i].1 += 1.0;
+    }
+
+    /// Never less than what came within the ring's whole time.
+    fn at_least(&mut self, now: Ms) -> f64 {
+        self.turn(now);
+        self.sums.iter().map(|s| s.0).sum()
+    }
+
+    /// Never more than what came within the ring's whole time.
+    fn at_most(&mut self, now: Ms) -> f64 {
+        let oldest = (self.turn(now) + 1) % self.sums.len();
+        self.sums.iter().enumerate().filter(|(i, _)| *i != oldest).map(|(_, s)| s.0).sum()
+    }
+
+    fn lowest_mean(&mut self, now: Ms) -> Option<f64> {
+        self.turn(now);
+        self.sums.iter().filter(|s| s.1 >= 3.0).map(|s| s.0 / s.1).min_by(f64::total_cmp)
+    }
+}
+
+/// Where a held command stands: outside the lines (its key, its limit or its node forbids it for now), in
+/// the line of a node, out at one, or over while its last hand-off is still out.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Outside,
+    Lined(usize),
+    Out(usize),
+    Over(usize),
+}
+
+/// The tags of a lined command; `arrival` is the potential it found, `length` its units over its allotment.
+#[derive(Clone, Copy, Default)]
+struct Tag {
+    arrival: f64,
+    start: f64,
+    finish: f64,
+    length: f64,
+}
+
+impl Tag {
+    fn marked(&self) -> Option<i64> {
+        let frame = self.start.floor() as i64;
+        (frame < self.finish.floor() as i64).then_some(frame)
+    }
+}
+
+struct Held {
+    cmd: Command,
+    turn: u64,
+    stage: Stage,
+    tag: Tag,
+    late_at: Ms,
+    ends: Ms,
+    hand_offs: u32,
+    may_have_run: Option<MayHaveRun>,
+    not_before: Ms,
+    paid_limit: bool,
+}
+
+impl Held {
+    fn lined(&self) -> Option<usize> {
+        match self.stage {
+            Stage::Lined(node) => Some(node),
+            _ => None,
+        }
+    }
+
+    fn waits(&self) -> bool {
+        matches!(self.stage, Stage::Outside | Stage::Lined(_))
+    }
+}
+
+/// The first hand-off of a command that is not known not to have run: its number, when and where it went.
+#[derive(Clone, Copy)]
+struct MayHaveRun {
+    hand_off: u32,
+    at: Ms,
+    node: usize,
+}
+
+struct Flow {
+    last_finish: f64,
+    weight: f64,
+    seen: Ms,
+    lined: u32,
+}
+
+struct Node {
+    entry: Entry,
+    line: Vec<usize>,
+    flows: BTreeMap<usize, Flow>,
+    potential: f64,
+    frame: i64,
+    counters: BTreeMap<i64, u32>,
+    frame_units: f64,
+    out: u32,
+    window: f64,
+    latency: Option<f64>,
+    bests: Ring,
+    cold: Ring,
+    /// Since when hand-offs are out without an answer to any.
+    unanswered: Option<Ms>,
+    rest: Ms,
+    rests_until: Ms,
+}
+
+impl Node {
+    fn reset_if_idle(&mut self) {
+        if self.line.is_empty() && self.out == 0 {
+            self.flows.values_mut().for_each(|f| f.last_finish = 0.0);
+            self.counters.clear();
+            (self.potential, self.frame, self.frame_units) = (0.0, 0, 0.0);
+        }
+    }
+
+    fn unmark(&mut self, tag: &Tag) {
+        if let Some(count) = tag.marked().and_then(|frame| self.counters.get_mut(&frame)) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Gives `tag` its place behind the volume's last finish and counts it where it spans frames.
+    fn stamp(&mut self, volume: usize, tag: &mut Tag) {
+        let Some(flow) = self.flows.get_mut(&volume) else { return };
+        tag.start = flow.last_finish.max(tag.arrival);
+        tag.finish = tag.start + tag.length;
+        flow.last_finish = tag.finish;
+        if let Some(frame) = tag.marked() {
+            *self.counters.entry(frame).or_insert(0) += 1;
+        }
+    }
+
+    fn has_place(&self, now: Ms) -> bool {
+        let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
+        open && (self.out as f64) < self.window && !self.silent(now)
+    }
+
+    fn silent(&self, now: Ms) -> bool {
+        let patience = SILENT_AFTER.max(SILENT_TIMES * self.latency.unwrap_or(0.0));
+        self.unanswered.is_some_and(|since| now - since > patience)
+    }
+}
+
+struct Store {
+    units: f64,
+    filled: Ms,
+}
+
+/// One host's module.
+pub struct Brain {
+    start: Start,
+    chance: WyRand,
+    born: Ms,
+    turns: u64,
+    held: Vec<Option<Held>>,
+    outside: BTreeMap<u64, usize>,
+    nodes: Vec<Option<Node>>,
+    keys: BTreeMap<usize, (VecDeque<usize>, Ms)>,
+    stores: BTreeMap<usize, Store>,
+    longest: Vec<Ms>,
+    taken: Ring,
+    further: Ring,
+    ask_at: Option<Ms>,
+    ask_rest: Ms,
+    cancels: Vec<(usize, u32)>,
+    tight: Ms,
+}
+
+impl Brain {
+    pub fn new(start: Start, now: Ms) -> Brain {
+        let window = start.budget.as_ref().map_or(1000.0, |b| b.window) / PARTS as f64;
+        Brain {
+            chance: WyRand::new_seed(start.seed),
+            born: now,
+            turns: 0,
+            held: Vec::new(),
+            outside: BTreeMap::new(),
+            nodes: Vec::new(),
+            keys: BTreeMap::new(),
+            stores: BTreeMap::new(),
+            longest: vec![0.0; start.bands.len()],
+            taken: Ring::new(window, PARTS),
+            further: Ring::new(window, PARTS),
+            ask_at: start.ask_within.map(|_| now),
+            ask_rest: FIRST_REST,
+            cancels: Vec::new(),
+            tight: TIGHT * start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
+            start,
+        }
+    }
+
+    /// Where to send this command: asked when it is taken, and each time `wait` names it.
+    pub fn place(&mut self, now: Ms, id: usize, cmd: &Command) -> Where {
+        if self.held.len() <= id {
+            self.held.resize_with(id + 1, || None);
+        }
+        if self.held[id].is_none() {
+            self.take(now, id, cmd);
+        }
+        self.line_up(now, id);
+        let lined = self.held[id].as_ref().and_then(|h| h.lined());
+        if let Some(node) = lined.filter(|&node| self.next_of(now, node) == Some(id)) {
+            return self.send(now, id, node);
+        }
+        match &self.held[id] {
+            Some(h) if h.waits() && self.hopeless(now, h) => Where::Never(self.end(now, id)),
+            _ => Where::NotYet,
+        }
+    }
+
+    /// What to do after this outcome of a hand-off; `over` says that the command is over with it or was.
+    pub fn after(&mut self, now: Ms, id: usize, outcome: Outcome, latency: Ms, over: bool) -> Next {
+        let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
+        let (Stage::Out(node) | Stage::Over(node)) = h.stage else { return Next::Nothing };
+        let ended = over || matches!(h.stage, Stage::Over(_));
+        let size = 2.0 / (1.0 + h.cmd.units / self.start.mean_units);
+        if outcome.never_ran() && h.may_have_run.is_some_and(|m| m.hand_off == h.hand_offs) {
+            h.may_have_run = None;
+        }
+        self.judge(now, node, outcome, latency, size);
+        let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
+                *rest = now + self.start.order_rest + self.start.round;
+            }
+        }
+        if ended {
+            self.forget(now, id);
+            return Next::Nothing;
+        }
+        h.stage = Stage::Outside;
+        h.not_before = if outcome.never_ran() { now + FIRST_REST } else { now };
+        self.outside.insert(h.turn, id);
+        let may = self.held[id].as_ref().is_some_and(|h| {
+            let known = h.may_have_run.map_or(node, |m| m.node);
+            h.hand_offs < self.start.max_hand_offs
+                && self.repeats_fit(now, h, known)
+                && !self.hopeless(now, h)
+        });
+        if may && self.budget_has_room(now) {
+            return Next::Hold;
+        }
+        Next::End(self.end(now, id))
+    }
+
+    /// What is due, or until when nothing is.
+    pub fn wait(&mut self, now: Ms) -> Due {
+        if let Some((command, hand_off)) = self.cancels.pop() {
+            return Due::Cancel { command, hand_off };
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            // An answer that never comes is asked for again before the host counts as told of an old list.
+            self.ask_at = self.start.ask_within.map(|within| now + 0.4 * within);
+            return Due::Watch;
+        }
+        for id in self.outside.values().copied().collect::<Vec<_>>() {
+            self.line_up(now, id);
+        }
+        for node in 0..self.nodes.len() {
+            self.draw_open(now, node);
+            if let Some(id) = self.next_of(now, node) {
+                return Due::Ask(id);
+            }
+        }
+        let mut until = self.ask_at.unwrap_or(now + 1000.0);
+        let lined = self.nodes.iter().flatten().flat_map(|n| n.line.iter());
+        for &id in self.outside.values().chain(lined) {
+            let Some(h) = &self.held[id] else { continue };
+            if self.hopeless(now, h) {
+                return Due::Ask(id);
+            }
+            until = until.min(now + NAP);
+        }
+        Due::Until(until)
+    }
+
+    /// The list of nodes, or what changed in it.
+    pub fn listed(&mut self, now: Ms, news: News, entries: &[Entry]) {
+        if news == News::Failed {
+            // Asked again soon but not in step with other hosts: the list's service has a fixed capacity.
+            let spread = 0.5 + self.chance.generate::<u32>() as f64 / u32::MAX as f64;
+            self.ask_at = self.start.ask_within.map(|_| now + self.ask_rest * spread);
+            self.ask_rest = (self.ask_rest * 2.0).min(LAST_REST);
+            return;
+        }
+        if news != News::Remembered {
+            self.ask_rest = FIRST_REST;
+            // A watch that broke unnoticed would leave the host with an old list.
+            self.ask_at = self.start.ask_within.map(|within| now + 0.8 * within);
+        }
+        if news != News::Changes {
+            for node in self.nodes.iter_mut().flatten() {
+                if !entries.iter().any(|e| e.node == node.entry.node) {
+                    node.entry.condition = Condition::Gone;
+                }
+            }
+        }
+        for entry in entries {
+            if self.nodes.len() <= entry.node {
+                self.nodes.resize_with(entry.node + 1, || None);
+            }
+            match &mut self.nodes[entry.node] {
+                Some(node) => {
+                    if node.entry.started != entry.started {
+                        (node.window, node.rests_until) = (FLOOR, now);
+                    }
+                    node.entry = entry.clone();
+                }
+                empty => {
+                    *empty = Some(Node {
+                        entry: entry.clone(),
+                        line: Vec::new(),
+                        flows: BTreeMap::new(),
+                        potential: 0.0,
+                        frame: 0,
+                        counters: BTreeMap::new(),
+                        frame_units: 0.0,
+                        out: 0,
+                        window: FLOOR,
+                        latency: None,
+                        bests: Ring::new(BEST_SLOT, BEST_SLOTS),
+                        cold: Ring::new(self.start.fall_time / PARTS as f64, PARTS),
+                        unanswered: None,
+                        rest: FIRST_REST,
+                        rests_until: now,
+                    });
+                }
+            }
+        }
+        // Commands lined at a node that drains or went wait for the node that takes its shard.
+        for node in 0..self.nodes.len() {
+            let Some(n) = &self.nodes[node] else { continue };
+            if n.entry.condition != Condition::Ready {
+                for id in n.line.clone() {
+                    self.unline(id);
+                }
+            }
+        }
+    }
+
+    /// The client has gone: nothing is owed any more.
+    pub fn given_up(&mut self, now: Ms, id: usize) {
+        let Some(Some(h)) = self.held.get_mut(id) else { return };
+        match h.stage {
+            Stage::Out(node) => {
+                h.stage = Stage::Over(node);
+                if self.start.may_cancel {
+                    self.cancels.push((id, h.hand_offs - 1));
+                }
+            }
+            Stage::Over(_) => {}
+            _ => {
+                self.unline(id);
+                self.forget(now, id);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
+        self.taken.add(now, 1.0);
+        self.turns += 1;
+        // A client's later try comes with less time than a first one and counts against the first's soft
+        // limit; the longest time limit seen tells by how much, whether or not clients mark their repeats.
+        let longest = &mut self.longest[cmd.band];
+        *longest = longest.max(cmd.time_limit);
+        let band = &self.start.bands[cmd.band];
+        let late_at = now + band.soft_limit - (*longest - cmd.time_limit);
+        let ends = now + cmd.time_limit - 2.0 * self.start.round;
+        let mut cmd = cmd.clone();
+        if !band.in_order {
+            cmd.key = None;
+        }
+        if let Some(key) = cmd.key {
+            self.keys.entry(key).or_insert_with(|| (VecDeque::new(), now)).0.push_back(id);
+        }
+        self.outside.insert(self.turns, id);
+        self.held[id] = Some(Held {
+            cmd,
+            turn: self.turns,
+            stage: Stage::Outside,
+            tag: Tag::default(),
+            late_at,
+            ends,
+            hand_offs: 0,
+            may_have_run: None,
+            not_before: now,
+            paid_limit: false,
+        });
+    }
+
+    /// Whether a held command is to be given its final answer now: its time is up, or it can no longer be
+    /// answered within its soft limit and no place is free for it.
+    fn hopeless(&self, now: Ms, h: &Held) -> bool {
+        now >= h.ends || self.late(now, h)
+    }
+
+    fn late(&self, now: Ms, h: &Held) -> bool {
+        let node = match h.stage {
+            Stage::Lined(node) => Some(node),
+            _ => h.cmd.shard.and_then(|shard| self.holder(shard)),
+        };
+        let latency = node.and_then(|n| self.nodes[n].as_ref()).and_then(|n| n.latency).unwrap_or(0.0);
+        now + latency > h.late_at
+    }
+
+    /// The node to which commands of a shard go: of those that are ready, the one started last.
+    fn holder(&self, shard: usize) -> Option<usize> {
+        let ready = |n: &&Node| n.entry.shard == shard && n.entry.condition == Condition::Ready;
+        let started = |n: &&Node| n.entry.started.unwrap_or(f64::NEG_INFINITY);
+        let holders = self.nodes.iter().flatten().filter(ready);
+        holders.max_by(|a, b| started(a).total_cmp(&started(b))).map(|n| n.entry.node)
+    }
+
+    /// Puts a command that waits outside into its node's line, once its key and its limit let it.
+    fn line_up(&mut self, now: Ms, id: usize) {
+        let Some(h) = self.held[id].as_ref().filter(|h| h.stage == Stage::Outside) else { return };
+        let Some(node) = h.cmd.shard.and_then(|shard| self.holder(shard)) else { return };
+        if self.free(now, id, node) && self.pay_limit(now, id) {
+            self.join(now, id, node);
+        }
+    }
+
+    /// Lets a node with a free place take the oldest command that names no node into its line, one at a time.
+    fn draw_open(&mut self, now: Ms, node: usize) {
+        let Some(n) = &self.nodes[node] else { return };
+        let names_none = |id: &usize| self.held[*id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
+        if !n.has_place(now) || n.line.iter().any(names_none) {
+            return;
+        }
+        if let Some(id) =
+            self.outside.values().copied().find(|id| names_none(id) && self.free(now, *id, node))
+        {
+            if self.pay_limit(now, id) {
+                self.join(now, id, node);
+            }
+        }
+    }
+
+    /// Whether a command's rest, its key and its earlier hand-offs let it into this node's line.
+    fn free(&self, now: Ms, id: usize, node: usize) -> bool {
+        let Some(h) = &self.held[id] else { return false };
+        let key = h.cmd.key.and_then(|key| self.keys.get(&key));
+        let turn =
+            key.is_none_or(|(line, rest)| line.front() == Some(&id) && (h.hand_offs > 0 || now >= *rest));
+        turn && now >= h.not_before && self.repeats_fit(now, h, node)
+    }
+
+    /// Whether a command may be handed to this node as far as its earlier hand-offs go.
+    fn repeats_fit(&self, now: Ms, h: &Held, node: usize) -> bool {
+        let Some(earlier) = h.may_have_run else { return true };
+        let band = &self.start.bands[h.cmd.band];
+        let (Some(to), Some(from)) = (&self.nodes[node], &self.nodes[earlier.node]) else { return false };
+        match (band.repeats, band.group) {
+            (Repeats::Retriable, _) => true,
+            (Repeats::Binding, _) => false,
+            (_, _) if now + self.start.round >= earlier.at + band.memory => false,
+            (_, Group::All) => true,
+            (_, Group::Zone) => to.entry.zone == from.entry.zone,
+            (_, Group::Shard) => to.entry.shard == from.entry.shard,
+        }
+    }
+
+    /// Takes a command's units from this host's part of its volume's store. The store starts empty: a host
+    /// that has just started may have spent it before.
+    fn pay_limit(&mut self, now: Ms, id: usize) -> bool {
+        let Some(Some(h)) = self.held.get_mut(id) else { return false };
+        let plan = &self.start.plans[h.cmd.plan];
+        if plan.limit_rate <= 0.0 || h.paid_limit {
+            return true;
+        }
+        let store = self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born });
+        let (rate, most) = (plan.limit_rate / h.cmd.hosts / 1000.0, plan.limit_store / h.cmd.hosts);
+        store.units = (store.units + (now - store.filled) * rate).min(most);
+        store.filled = now;
+        if store.units < h.cmd.units {
+            return false;
+        }
+        store.units -= h.cmd.units;
+        h.paid_limit = true;
+        true
+    }
+
+    /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
+    fn weight(&self, plan: usize) -> f64 {
+        let plans = &self.start.plans;
+        let rates: f64 = plans.iter().map(|p| p.rate).sum();
+        let weights: f64 = plans.iter().map(|p| p.weight).sum();
+        let p = &plans[plan];
+        (p.price * (p.reserve + self.start.share_payoff * p.weight * rates / weights.max(1e-9))).max(1e-6)
+    }
+
+    fn join(&mut self, now: Ms, id: usize, node: usize) {
+        let Some(Some(h)) = self.held.get(id) else { return };
+        let (weight, volume, units, turn) = (self.weight(h.cmd.plan), h.cmd.volume, h.cmd.units, h.turn);
+        let most = self.start.most_units.max(units);
+        let Some(n) = &mut self.nodes[node] else { return };
+        n.reset_if_idle();
+        let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
+        let flow = n.flows.entry(volume).or_insert(fresh);
+        flow.seen = now;
+        flow.lined += 1;
+        let p = n.potential;
+        n.flows.retain(|_, f| f.lined > 0 || now - f.seen < SEEN || f.last_finish > p);
+        let all: f64 = n.flows.values().map(|f| f.weight).sum();
+        let least = n.flows.values().map(|f| f.weight).fold(weight, f64::min);
+        n.frame_units = n.frame_units.max(most * all / least);
+        let mut tag = Tag { arrival: p, length: units * all / (n.frame_units * weight), ..Tag::default() };
+        n.stamp(volume, &mut tag);
+        n.line.push(id);
+        self.outside.remove(&turn);
+        if let Some(Some(h)) = self.held.get_mut(id) {
+            (h.stage, h.tag) = (Stage::Lined(node), tag);
+        }
+    }
+
+    /// Takes an unsent command out of its line: its frame's counter falls as a send would lower it, and the
+    /// volume's later commands move up, as it is not charged for service that it did not get.
+    fn unline(&mut self, id: usize) {
+        let Some(Some(h)) = self.held.get_mut(id) else { return };
+        if let Stage::Lined(node) = h.stage {
+            h.stage = Stage::Outside;
+            let (volume, units, gone, paid) = (h.cmd.volume, h.cmd.units, h.tag, h.paid_limit);
+            self.outside.insert(h.turn, id);
+            if paid && h.hand_offs == 0 {
+                h.paid_limit = false;
+                if let Some(store) = self.stores.get_mut(&volume) {
+                    store.units += units;
+                }
+            }
+            let Some(n) = &mut self.nodes[node] else { return };
+            n.line.retain(|&other| other != id);
+            n.unmark(&gone);
+            let Some(flow) = n.flows.get_mut(&volume) else { return };
+            (flow.last_finish, flow.lined) = (gone.start, flow.lined - 1);
+            for other in n.line.clone() {
+                let Some(Some(later)) = self.held.get_mut(other) else { continue };
+                if later.cmd.volume == volume && later.tag.start >= gone.start {
+                    n.unmark(&later.tag);
+                    n.stamp(volume, &mut later.tag);
+                }
+            }
+            n.reset_if_idle();
+        }
+    }
+
+    /// The command that leaves next at a node, if its window has room: the smallest finish tag among those
+    /// that can still be answered within their soft limit, else among the others.
+    fn next_of(&mut self, now: Ms, node: usize) -> Option<usize> {
+        let n = self.nodes[node].as_ref()?;
+        if n.line.is_empty() || !n.has_place(now) {
+            return None;
+        }
+        let rank = |&&id: &&usize| {
+            let h = self.held[id].as_ref();
+            h.map_or((true, f64::INFINITY, 0), |h| (self.late(now, h), h.tag.finish, h.turn))
+        };
+        let lower = |a: &&usize, b: &&usize| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
+        };
+        let id = *n.line.iter().min_by(lower)?;
+        let h = self.held[id].as_ref()?;
+        let (units, further) = (h.cmd.units, h.hand_offs > 0);
+        let may = now < h.ends && self.repeats_fit(now, h, node);
+        (may && self.cold_has_room(now, node, units) && (!further || self.budget_has_room(now))).then_some(id)
+    }
+
+    /// Whether this host's part of what a cold node bears has room. It grows with the least that the node's
+    /// ramp can have reached when the window began; a host younger than the window counts its part as spent.
+    fn cold_has_room(&mut self, now: Ms, node: usize, units: f64) -> bool {
+        let s = &self.start;
+        let Some(n) = &mut self.nodes[node] else { return false };
+        let Some(started) = n.entry.started else { return true };
+        let age = now - started;
+        if age >= s.cold_time + s.fall_time {
+            return true;
+        }
+        let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
+        let part = s.cold_units / s.hosts * ramp / s.cold_share;
+        let before = if now - self.born < s.fall_time { part } else { 0.0 };
+        n.cold.at_least(now) + before + units <= part
+    }
+
+    fn budget_has_room(&mut self, now: Ms) -> bool {
+        let Some(b) = &self.start.budget else { return true };
+        self.further.at_least(now) + 1.0 <= b.free + b.share * self.taken.at_most(now)
+    }
+
+    fn send(&mut self, now: Ms, id: usize, node: usize) -> Where {
+        let (Some(Some(h)), Some(n)) = (self.held.get_mut(id), &mut self.nodes[node]) else {
+            return Where::NotYet;
+        };
+        n.line.retain(|&other| other != id);
+        if let Some(flow) = n.flows.get_mut(&h.cmd.volume) {
+            (flow.lined, flow.seen) = (flow.lined - 1, now);
+        }
+        n.potential += h.cmd.units / n.frame_units;
+        n.unmark(&h.tag);
+        let reached = h.tag.finish.floor() as i64;
+        if reached > n.frame && n.counters.get(&n.frame).is_none_or(|&c| c == 0) {
+            n.frame = reached;
+            n.potential = n.potential.max(reached as f64);
+            n.counters = n.counters.split_off(&reached);
+        }
+        n.out += 1;
+        n.unanswered.get_or_insert(now);
+        n.cold.add(now, h.cmd.units);
+        if h.hand_offs > 0 {
+            self.further.add(now, 1.0);
+        }
+        h.hand_offs += 1;
+        h.stage = Stage::Out(node);
+        h.may_have_run.get_or_insert(MayHaveRun { hand_off: h.hand_offs, at: now, node });
+        Where::To { node, time_out: h.ends - now }
+    }
+
+    /// Moves what is known of a node by an outcome: its window, its latency, its rests.
+    fn judge(&mut self, now: Ms, node: usize, outcome: Outcome, latency: Ms, size: f64) {
+        let Some(n) = &mut self.nodes[node] else { return };
+        let crowded = n.out as f64 >= n.window - 1.0;
+        n.out = n.out.saturating_sub(1);
+        match outcome {
+            Outcome::Settled => {
+                let sized = latency * size;
+                n.bests.add(now, sized);
+                let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
+                n.latency = Some(recent);
+                let best = n.bests.lowest_mean(now).unwrap_or(recent);
+                if recent > self.tight {
+                    n.window = (n.window * (1.0 - NARROWING)).max(JAM_FLOOR);
+                } else if recent > FAR_FROM_BEST * best && n.window > FLOOR {
+                    n.window = (n.window * (1.0 - NARROWING)).max(FLOOR);
+                } else if crowded && (recent < NEAR_BEST * best || n.window < FLOOR) {
+                    n.window = (n.window + 1.0 / n.window).min(CEILING);
+                }
+                n.rest = FIRST_REST;
+            }
+            Outcome::Full | Outcome::NoConnection | Outcome::Reset => {
+                n.window = (n.window / 2.0).max(JAM_FLOOR);
+                n.rests_until = now + n.rest;
+                n.rest = (n.rest * 2.0).min(LAST_REST);
+            }
+            // Tried again with one command where a node has answered nothing until its time was up.
+            Outcome::TimedOut if n.silent(now) => n.window = JAM_FLOOR,
+            _ => {}
+        }
+        if !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
+            n.unanswered = Some(now);
+        }
+        if n.out == 0 {
+            n.unanswered = None;
+        }
+        n.reset_if_idle();
+    }
+
+    /// The final answer of a command that this host gives up: a bounce where that is known to be harmless.
+    fn end(&mut self, now: Ms, id: usize) -> Ending {
+        self.unline(id);
+        let Some(Some(h)) = self.held.get(id) else { return Ending::Scrapped };
+        let band = &self.start.bands[h.cmd.band];
+        let harmless = match (band.repeats, band.group) {
+            (Repeats::Retriable, _) | (Repeats::Fingerprinted, Group::All) => true,
+            _ => h.may_have_run.is_none(),
+        };
+        let back = self.start.longest_back.min((h.ends - now).max(0.0));
+        self.forget(now, id);
+        if harmless {
+            Ending::Bounced { back }
+        } else {
+            Ending::Scrapped
+        }
+    }
+
+    fn forget(&mut self, now: Ms, id: usize) {
+        let Some(h) = self.held[id].take() else { return };
+        self.outside.remove(&h.turn);
+        if let Some((line, _)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
+            line.retain(|&other| other != id);
+        }
+        self.keys.retain(|_, (line, rest)| !line.is_empty() || now < *rest);
+    }
+}
