--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -79,6 +79,7 @@
         let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Shard)];
         Ok(Band {
             soft_limit: self.needed(&key("slo_ns"), self.time(&key("slo_ns"))?)?,
+            payoff: self.number_or(&key("worth"), 1.0)?,
             repeats: self.needed(&key("semantics"), self.one_of(&key("semantics"), &repeats)?)?,
             group: self.one_of(&key("key_scope"), &groups)?.unwrap_or(Group::Shard),
             memory: self.time(&key("window_ns"))?.unwrap_or(0.0),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -544,17 +544,19 @@
     }
 
     /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
-    fn weight(&self, plan: usize) -> f64 {
+    fn weight(&self, band: usize, plan: usize) -> f64 {
         let plans = &self.start.plans;
         let rates: f64 = plans.iter().map(|p| p.rate).sum();
         let weights: f64 = plans.iter().map(|p| p.weight).sum();
         let p = &plans[plan];
-        (p.price * (p.reserve + self.start.share_payoff * p.weight * rates / weights.max(1e-9))).max(1e-6)
+        let payoff = p.price * self.start.bands[band].payoff;
+        (payoff * (p.reserve + self.start.share_payoff * p.weight * rates / weights.max(1e-9))).max(1e-6)
     }
 
     fn join(&mut self, now: Ms, id: usize, node: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
-        let (weight, volume, units, turn) = (self.weight(h.cmd.plan), h.cmd.volume, h.cmd.units, h.turn);
+        let (weight, volume, units, turn) =
+            (self.weight(h.cmd.band, h.cmd.plan), h.cmd.volume, h.cmd.units, h.turn);
         let most = self.start.most_units.max(units);
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Band {
     pub soft_limit: Ms,
+    pub payoff: f64,
     pub repeats: Repeats,
     pub group: Group,
     /// How long the group remembers a fingerprint, from the first send that may have run.
