Give a volume two flows at a node: what its reserve covers, and the rest

Cause: a surging volume's tags ran ahead by units that pay little, and its reserve waited behind them. The reserve is a store per volume, filled at the plan's rate, drained by what is sent here and by what answers say others were served.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::facts::NS_PER_MS;
 use crate::wire::Reply;
-use magpiewick::{Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Where};
+use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Start, Where};
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -127,12 +127,13 @@
         }
     }
 
-    pub fn verdict(&mut self, now: u64, id: u64, outcome: Outcome, took: u64, over: bool, reply: &mut Reply) {
+    pub fn verdict(&mut self, now: u64, id: u64, mut answer: Answer, reply: &mut Reply) {
         let Some(&slot) = self.by_id.get(&id) else { return };
         let Some(c) = &mut self.in_hand[slot] else { return };
         c.out = c.out.saturating_sub(1);
-        c.over |= over;
-        match self.brain.after(ms(now), slot, outcome, ms(took), c.over) {
+        c.over |= answer.over;
+        answer.over = c.over;
+        match self.brain.after(ms(now), slot, &answer) {
             Next::End(ending) => self.end(slot, ending, reply),
             Next::Nothing | Next::Hold => self.release(slot),
         }
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 mod wire;
 
 use host::{ms, Host, Taken};
-use magpiewick::{Command, Condition, Entry, News, Outcome};
+use magpiewick::{Answer, Command, Condition, Entry, News, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use wire::{Fault, Fields, Reply};
@@ -122,10 +122,11 @@
                 let outcome = outcome(f)?;
                 let took = f.u64("a latency")?;
                 let over = f.u8("an end mark")? != 0;
-                f.u16("a use")?;
-                f.u16("a count of others")?;
+                let used = f.u16("a use")?;
+                let used = (used > 0).then(|| (f64::from(used) - 1.0) / 100.0);
+                let others = f64::from(f.u16("a count of others")?);
                 report(f)?;
-                i.host.verdict(now, id, outcome, took, over, reply);
+                i.host.verdict(now, id, Answer { outcome, latency: ms(took), over, used, others }, reply);
             }
             5 => {
                 f.u16("a sender")?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,6 +14,7 @@
 const JAM_FLOOR: f64 = 1.0;
 const TIGHT: f64 = 0.5;
 /// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
+const IN_RESERVE: f64 = 4.0;
 const NEAR_BEST: f64 = 1.5;
 const FAR_FROM_BEST: f64 = 2.5;
 const NARROWING: f64 = 0.05;
@@ -98,6 +99,7 @@
     start: f64,
     finish: f64,
     length: f64,
+    reserved: bool,
 }
 
 impl Tag {
@@ -151,7 +153,7 @@
 struct Node {
     entry: Entry,
     line: Vec<usize>,
-    flows: BTreeMap<usize, Flow>,
+    flows: BTreeMap<(usize, bool), Flow>,
     potential: f64,
     frame: i64,
     counters: BTreeMap<i64, u32>,
@@ -184,7 +186,7 @@
 
     /// Gives `tag` its place behind the volume's last finish and counts it where it spans frames.
     fn stamp(&mut self, volume: usize, tag: &mut Tag) {
-        let Some(flow) = self.flows.get_mut(&volume) else { return };
+        let Some(flow) = self.flows.get_mut(&(volume, tag.reserved)) else { return };
         tag.start = flow.last_finish.max(tag.arrival);
         tag.finish = tag.start + tag.length;
         flow.last_finish = tag.finish;
@@ -209,6 +211,13 @@
     filled: Ms,
 }
 
+impl Store {
+    fn fill(&mut self, now: Ms, a_second: f64, most: f64) {
+        self.units = (self.units + (now - self.filled) * a_second / 1000.0).min(most);
+        self.filled = now;
+    }
+}
+
 /// One host's module.
 pub struct Brain {
     start: Start,
@@ -220,6 +229,7 @@
     nodes: Vec<Option<Node>>,
     keys: BTreeMap<usize, (VecDeque<usize>, Ms)>,
     stores: BTreeMap<usize, Store>,
+    dues: BTreeMap<usize, Store>,
     longest: Vec<Ms>,
     taken: Ring,
     further: Ring,
@@ -241,6 +251,7 @@
             nodes: Vec::new(),
             keys: BTreeMap::new(),
             stores: BTreeMap::new(),
+            dues: BTreeMap::new(),
             longest: vec![0.0; start.bands.len()],
             taken: Ring::new(window, PARTS),
             further: Ring::new(window, PARTS),
@@ -272,15 +283,19 @@
     }
 
     /// What to do after this outcome of a hand-off; `over` says that the command is over with it or was.
-    pub fn after(&mut self, now: Ms, id: usize, outcome: Outcome, latency: Ms, over: bool) -> Next {
+    pub fn after(&mut self, now: Ms, id: usize, answer: &Answer) -> Next {
+        let outcome = answer.outcome;
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         let (Stage::Out(node) | Stage::Over(node)) = h.stage else { return Next::Nothing };
-        let ended = over || matches!(h.stage, Stage::Over(_));
+        let ended = answer.over || matches!(h.stage, Stage::Over(_));
         let size = 2.0 / (1.0 + h.cmd.units / self.start.mean_units);
+        if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
+            due.units = (due.units - answer.others).max(-self.start.plans[h.cmd.plan].reserve);
+        }
         if outcome.never_ran() && h.may_have_run.is_some_and(|m| m.hand_off == h.hand_offs) {
             h.may_have_run = None;
         }
-        self.judge(now, node, outcome, latency, size);
+        self.judge(now, node, outcome, answer.latency, size);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
@@ -532,9 +547,7 @@
             return true;
         }
         let store = self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born });
-        let (rate, most) = (plan.limit_rate / h.cmd.hosts / 1000.0, plan.limit_store / h.cmd.hosts);
-        store.units = (store.units + (now - store.filled) * rate).min(most);
-        store.filled = now;
+        store.fill(now, plan.limit_rate / h.cmd.hosts, plan.limit_store / h.cmd.hosts);
         if store.units < h.cmd.units {
             return false;
         }
@@ -543,25 +556,40 @@
         true
     }
 
+    /// Whether the volume's reserve still covers a command, as far as this host knows; takes it if so.
+    fn within_reserve(&mut self, now: Ms, cmd: &Command) -> bool {
+        let reserve = self.start.plans[cmd.plan].reserve;
+        let due = self.dues.entry(cmd.volume).or_insert(Store { units: reserve, filled: now });
+        due.fill(now, reserve, reserve + self.start.most_units);
+        let within = due.units >= cmd.units && reserve > 0.0;
+        if within {
+            due.units -= cmd.units;
+        }
+        within
+    }
+
     /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
-    fn weight(&self, band: usize, plan: usize) -> f64 {
+    fn weight(&self, cmd: &Command, reserved: bool) -> f64 {
         let plans = &self.start.plans;
         let rates: f64 = plans.iter().map(|p| p.rate).sum();
         let weights: f64 = plans.iter().map(|p| p.weight).sum();
-        let p = &plans[plan];
-        let payoff = p.price * self.start.bands[band].payoff;
-        (payoff * (p.reserve + self.start.share_payoff * p.weight * rates / weights.max(1e-9))).max(1e-6)
+        let p = &plans[cmd.plan];
+        let payoff = p.price * self.start.bands[cmd.band].payoff;
+        let share = self.start.share_payoff * p.weight * rates / weights.max(1e-9);
+        (payoff * if reserved { IN_RESERVE * p.reserve } else { share }).max(1e-6)
     }
 
     fn join(&mut self, now: Ms, id: usize, node: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
-        let (weight, volume, units, turn) =
-            (self.weight(h.cmd.band, h.cmd.plan), h.cmd.volume, h.cmd.units, h.turn);
+        let (cmd, turn) = (h.cmd.clone(), h.turn);
+        let reserved = self.within_reserve(now, &cmd);
+        let (weight, units) = (self.weight(&cmd, reserved), cmd.units);
+        let flow_id = (cmd.volume, reserved);
         let most = self.start.most_units.max(units);
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
         let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
-        let flow = n.flows.entry(volume).or_insert(fresh);
+        let flow = n.flows.entry(flow_id).or_insert(fresh);
         flow.seen = now;
         flow.lined += 1;
         let p = n.potential;
@@ -569,8 +597,9 @@
         let all: f64 = n.flows.values().map(|f| f.weight).sum();
         let least = n.flows.values().map(|f| f.weight).fold(weight, f64::min);
         n.frame_units = n.frame_units.max(most * all / least);
-        let mut tag = Tag { arrival: p, length: units * all / (n.frame_units * weight), ..Tag::default() };
-        n.stamp(volume, &mut tag);
+        let mut tag =
+            Tag { arrival: p, length: units * all / (n.frame_units * weight), reserved, ..Tag::default() };
+        n.stamp(cmd.volume, &mut tag);
         n.line.push(id);
         self.outside.remove(&turn);
         if let Some(Some(h)) = self.held.get_mut(id) {
@@ -595,11 +624,17 @@
             let Some(n) = &mut self.nodes[node] else { return };
             n.line.retain(|&other| other != id);
             n.unmark(&gone);
-            let Some(flow) = n.flows.get_mut(&volume) else { return };
+            if let Some(due) = self.dues.get_mut(&volume).filter(|_| gone.reserved) {
+                due.units += units;
+            }
+            let Some(flow) = n.flows.get_mut(&(volume, gone.reserved)) else { return };
             (flow.last_finish, flow.lined) = (gone.start, flow.lined - 1);
             for other in n.line.clone() {
                 let Some(Some(later)) = self.held.get_mut(other) else { continue };
-                if later.cmd.volume == volume && later.tag.start >= gone.start {
+                if later.cmd.volume == volume
+                    && later.tag.reserved == gone.reserved
+                    && later.tag.start >= gone.start
+                {
                     n.unmark(&later.tag);
                     n.stamp(volume, &mut later.tag);
                 }
@@ -656,7 +691,7 @@
             return Where::NotYet;
         };
         n.line.retain(|&other| other != id);
-        if let Some(flow) = n.flows.get_mut(&h.cmd.volume) {
+        if let Some(flow) = n.flows.get_mut(&(h.cmd.volume, h.tag.reserved)) {
             (flow.lined, flow.seen) = (flow.lined - 1, now);
         }
         n.potential += h.cmd.units / n.frame_units;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -136,6 +136,20 @@
     Scrapped,
 }
 
+/// What came with the outcome of a hand-off.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    pub outcome: Outcome,
+    /// From the send until now.
+    pub latency: Ms,
+    /// The command is over, by this outcome or before it.
+    pub over: bool,
+    /// What the volume was served everywhere in a finished period, as a part of its plan's rate; late.
+    pub used: Option<f64>,
+    /// Units that the node's shard served for the volume through other hosts since its last answer here.
+    pub others: f64,
+}
+
 /// What is to be done after an outcome.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Next {
