Let the jam departure act from 0.2 of the shortest soft limit

Cause as before: the nodes' own queues, in turn of arrival, undo the fair order when windows are too wide.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,7 +12,7 @@
 const FLOOR: f64 = 4.0;
 const CEILING: f64 = 32.0;
 const JAM_FLOOR: f64 = 1.0;
-const TIGHT: f64 = 0.3;
+const TIGHT: f64 = 0.2;
 /// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
 const IN_RESERVE: f64 = 4.0;
 const NEAR_BEST: f64 = 1.5;
