--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,14 +12,14 @@
 const FLOOR: f64 = 4.0;
 const CEILING: f64 = 32.0;
 const JAM_FLOOR: f64 = 1.0;
-const TIGHT: f64 = 0.2;
+const TIGHT: f64 = 0.15;
 /// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
 const IN_RESERVE: f64 = 4.0;
 const NEAR_BEST: f64 = 1.5;
 const FAR_FROM_BEST: f64 = 2.5;
-const NARROWING: f64 = 0.05;
+const NARROWING: f64 = 0.1;
 /// How much one answer moves the smoothed latency.
-const SMOOTHING: f64 = 0.15;
+const SMOOTHING: f64 = 0.08;
 /// Recent best: buckets of this length, kept this many, each judged by its mean of at least three answers.
 const BEST_SLOT: Ms = 1000.0;
 const BEST_SLOTS: usize = 12;
