Let a cold node's part grow with what it settled for this host lately

What a node settled within the window proves as much capacity; the stated part keeps to the other multiples, so all hosts together stay under the rule. Holds also for restarts in place. It could harm where units tell the work badly, as with costly commands right after a start.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -130,6 +130,7 @@
         cold_time: f.time("safety.cold_ns")?.unwrap_or(0.0),
         cold_units: f.number_or("specifics.cold_bears", 0.0)?,
         fall_time: f.time("safety.tip_after_ns")?.unwrap_or(0.0),
+        fall_multiple: f.number_or("safety.fall_multiple", 1.0)?,
         order_rest: f.time("safety.order_pause_ns")?.unwrap_or(0.0),
         budget,
         most_units: f.number_or("specifics.units_top", 1.0)?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -163,6 +163,7 @@
     latency: Option<f64>,
     bests: Ring,
     cold: Ring,
+    proof: Ring,
     /// Since when hand-offs are out without an answer to any.
     unanswered: Option<Ms>,
     rest: Ms,
@@ -295,7 +296,8 @@
         if outcome.never_ran() && h.may_have_run.is_some_and(|m| m.hand_off == h.hand_offs) {
             h.may_have_run = None;
         }
-        self.judge(now, node, outcome, answer.latency, size);
+        let units = h.cmd.units;
+        self.judge(now, node, answer, size, units);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
@@ -398,6 +400,7 @@
                         latency: None,
                         bests: Ring::new(BEST_SLOT, BEST_SLOTS),
                         cold: Ring::new(self.start.fall_time / PARTS as f64, PARTS),
+                        proof: Ring::new(self.start.fall_time / PARTS as f64, PARTS),
                         unanswered: None,
                         rest: FIRST_REST,
                         rests_until: now,
@@ -666,7 +669,9 @@
     }
 
     /// Whether this host's part of what a cold node bears has room. It grows with the least that the node's
-    /// ramp can have reached when the window began; a host younger than the window counts its part as spent.
+    /// ramp can have reached when the window began, and with what the node settled for this host within the
+    /// window, which proves as much capacity: all hosts' proofs together are one of the rule's multiples, so
+    /// the stated part keeps to the others. A host younger than the window counts its part as spent.
     fn cold_has_room(&mut self, now: Ms, node: usize, units: f64) -> bool {
         let s = &self.start;
         let Some(n) = &mut self.nodes[node] else { return false };
@@ -678,7 +683,8 @@
         let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
         let part = s.cold_units / s.hosts * ramp / s.cold_share;
         let before = if now - self.born < s.fall_time { part } else { 0.0 };
-        n.cold.at_least(now) + before + units <= part
+        let proven = part * (1.0 - 1.0 / s.fall_multiple.max(1.0)) + n.proof.at_most(now);
+        n.cold.at_least(now) + before + units <= proven
     }
 
     fn budget_has_room(&mut self, now: Ms) -> bool {
@@ -715,13 +721,14 @@
     }
 
     /// Moves what is known of a node by an outcome: its window, its latency, its rests.
-    fn judge(&mut self, now: Ms, node: usize, outcome: Outcome, latency: Ms, size: f64) {
+    fn judge(&mut self, now: Ms, node: usize, answer: &Answer, size: f64, units: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
         let crowded = n.out as f64 >= n.window - 1.0;
         n.out = n.out.saturating_sub(1);
-        match outcome {
+        match answer.outcome {
             Outcome::Settled => {
-                let sized = latency * size;
+                n.proof.add(now, units);
+                let sized = answer.latency * size;
                 n.bests.add(now, sized);
                 let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
                 n.latency = Some(recent);
@@ -744,7 +751,7 @@
             Outcome::TimedOut if n.silent(now) => n.window = JAM_FLOOR,
             _ => {}
         }
-        if !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
+        if !matches!(answer.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
             n.unanswered = Some(now);
         }
         if n.out == 0 {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -75,6 +75,8 @@
     /// The units that a cold node bears from all hosts together within `fall_time`.
     pub cold_units: f64,
     pub fall_time: Ms,
+    /// A cold node falls when sent more than this multiple of what it can do for `fall_time`.
+    pub fall_multiple: f64,
     pub order_rest: Ms,
     pub budget: Option<Budget>,
     pub most_units: f64,
