--- a/src/brain.rs
+++ b/src/brain.rs
@@ -647,44 +647,39 @@
     }
 
     /// The command that leaves next at a node, if its window has room: the smallest finish tag among those
-    /// that can still be answered within their soft limit, else among the others.
+    /// that can still be answered within their soft limit, else among the others. Commands too large for
+    /// what is left of a cold node's part, or out of budget, let others pass.
     fn next_of(&mut self, now: Ms, node: usize) -> Option<usize> {
-        let n = self.nodes[node].as_ref()?;
-        if n.line.is_empty() || !n.has_place(now) {
+        if self.nodes[node].as_ref().is_none_or(|n| n.line.is_empty() || !n.has_place(now)) {
             return None;
         }
-        let rank = |&&id: &&usize| {
-            let h = self.held[id].as_ref();
-            h.map_or((true, f64::INFINITY, 0), |h| (self.late(now, h), h.tag.finish, h.turn))
-        };
-        let lower = |a: &&usize, b: &&usize| {
-            let (a, b) = (rank(a), rank(b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
-        };
-        let id = *n.line.iter().min_by(lower)?;
-        let h = self.held[id].as_ref()?;
-        let (units, further) = (h.cmd.units, h.hand_offs > 0);
-        let may = now < h.ends && self.repeats_fit(now, h, node);
-        (may && self.cold_has_room(now, node, units) && (!further || self.budget_has_room(now))).then_some(id)
+        let (room, further) = (self.cold_room(now, node), self.budget_has_room(now));
+        let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
+            let h = self.held[id].as_ref()?;
+            let may = now < h.ends && h.cmd.units <= room && (further || h.hand_offs == 0);
+            (may && self.repeats_fit(now, h, node)).then(|| (self.late(now, h), h.tag.finish, h.turn, id))
+        });
+        let first = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        first.map(|rank| rank.3)
     }
 
-    /// Whether this host's part of what a cold node bears has room. It grows with the least that the node's
+    /// What is left of this host's part of what a cold node bears. It grows with the least that the node's
     /// ramp can have reached when the window began, and with what the node settled for this host within the
     /// window, which proves as much capacity: all hosts' proofs together are one of the rule's multiples, so
     /// the stated part keeps to the others. A host younger than the window counts its part as spent.
-    fn cold_has_room(&mut self, now: Ms, node: usize, units: f64) -> bool {
+    fn cold_room(&mut self, now: Ms, node: usize) -> f64 {
         let s = &self.start;
-        let Some(n) = &mut self.nodes[node] else { return false };
-        let Some(started) = n.entry.started else { return true };
+        let Some(n) = &mut self.nodes[node] else { return 0.0 };
+        let Some(started) = n.entry.started else { return f64::INFINITY };
         let age = now - started;
         if age >= s.cold_time + s.fall_time {
-            return true;
+            return f64::INFINITY;
         }
         let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
         let part = s.cold_units / s.hosts * ramp / s.cold_share;
         let before = if now - self.born < s.fall_time { part } else { 0.0 };
         let proven = part * (1.0 - 1.0 / s.fall_multiple.max(1.0)) + n.proof.at_most(now);
-        n.cold.at_least(now) + before + units <= proven
+        proven - n.cold.at_least(now) - before
     }
 
     fn budget_has_room(&mut self, now: Ms) -> bool {
