Keep the limit's store exact while units wait in line, and tags of one scale

Cause, limit: units were taken when a command joined its line and the store filled meanwhile, while the true store stood full; after a wait in a jam more left than the store held. Units in line now hold their place in the store. Cause, tags: F grew when a lighter flow joined, so commands tagged before it had longer tags than those after. F is now the sum of allotments, each the largest size times weight over the least weight.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -119,7 +119,7 @@
     hand_offs: u32,
     may_have_run: Option<MayHaveRun>,
     not_before: Ms,
-    paid_limit: bool,
+    drew_limit: bool,
 }
 
 impl Held {
@@ -210,6 +210,8 @@
 struct Store {
     units: f64,
     filled: Ms,
+    /// Taken by commands that wait in line; the store does not fill in their place until they are sent.
+    drawn: f64,
 }
 
 impl Store {
@@ -238,12 +240,14 @@
     ask_rest: Ms,
     cancels: Vec<(usize, u32)>,
     tight: Ms,
+    /// The smallest weight that any volume can have.
+    least: f64,
 }
 
 impl Brain {
     pub fn new(start: Start, now: Ms) -> Brain {
         let window = start.budget.as_ref().map_or(1000.0, |b| b.window) / PARTS as f64;
-        Brain {
+        let mut brain = Brain {
             chance: WyRand::new_seed(start.seed),
             born: now,
             turns: 0,
@@ -260,8 +264,11 @@
             ask_rest: FIRST_REST,
             cancels: Vec::new(),
             tight: TIGHT * start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
+            least: f64::INFINITY,
             start,
-        }
+        };
+        brain.least = brain.least_weight();
+        brain
     }
 
     /// Where to send this command: asked when it is taken, and each time `wait` names it.
@@ -465,7 +472,7 @@
             hand_offs: 0,
             may_have_run: None,
             not_before: now,
-            paid_limit: false,
+            drew_limit: false,
         });
     }
 
@@ -496,7 +503,7 @@
     fn line_up(&mut self, now: Ms, id: usize) {
         let Some(h) = self.held[id].as_ref().filter(|h| h.stage == Stage::Outside) else { return };
         let Some(node) = h.cmd.shard.and_then(|shard| self.holder(shard)) else { return };
-        if self.free(now, id, node) && self.pay_limit(now, id) {
+        if self.free(now, id, node) && self.draw_limit(now, id) {
             self.join(now, id, node);
         }
     }
@@ -511,7 +518,7 @@
         if let Some(id) =
             self.outside.values().copied().find(|id| names_none(id) && self.free(now, *id, node))
         {
-            if self.pay_limit(now, id) {
+            if self.draw_limit(now, id) {
                 self.join(now, id, node);
             }
         }
@@ -543,26 +550,26 @@
 
     /// Takes a command's units from this host's part of its volume's store. The store starts empty: a host
     /// that has just started may have spent it before.
-    fn pay_limit(&mut self, now: Ms, id: usize) -> bool {
+    fn draw_limit(&mut self, now: Ms, id: usize) -> bool {
         let Some(Some(h)) = self.held.get_mut(id) else { return false };
         let plan = &self.start.plans[h.cmd.plan];
-        if plan.limit_rate <= 0.0 || h.paid_limit {
+        if plan.limit_rate <= 0.0 || h.drew_limit {
             return true;
         }
-        let store = self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born });
+        let store =
+            self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born, drawn: 0.0 });
         store.fill(now, plan.limit_rate / h.cmd.hosts, plan.limit_store / h.cmd.hosts);
-        if store.units < h.cmd.units {
-            return false;
+        h.drew_limit = store.units - store.drawn >= h.cmd.units;
+        if h.drew_limit {
+            store.drawn += h.cmd.units;
         }
-        store.units -= h.cmd.units;
-        h.paid_limit = true;
-        true
+        h.drew_limit
     }
 
     /// Whether the volume's reserve still covers a command, as far as this host knows; takes it if so.
     fn within_reserve(&mut self, now: Ms, cmd: &Command) -> bool {
         let reserve = self.start.plans[cmd.plan].reserve;
-        let due = self.dues.entry(cmd.volume).or_insert(Store { units: reserve, filled: now });
+        let due = self.dues.entry(cmd.volume).or_insert(Store { units: reserve, filled: now, drawn: 0.0 });
         due.fill(now, reserve, reserve + self.start.most_units);
         let within = due.units >= cmd.units && reserve > 0.0;
         if within {
@@ -572,23 +579,33 @@
     }
 
     /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
-    fn weight(&self, cmd: &Command, reserved: bool) -> f64 {
+    fn weight(&self, band: usize, plan: usize, reserved: bool) -> f64 {
         let plans = &self.start.plans;
         let rates: f64 = plans.iter().map(|p| p.rate).sum();
         let weights: f64 = plans.iter().map(|p| p.weight).sum();
-        let p = &plans[cmd.plan];
-        let payoff = p.price * self.start.bands[cmd.band].payoff;
+        let p = &plans[plan];
+        let payoff = p.price * self.start.bands[band].payoff;
         let share = self.start.share_payoff * p.weight * rates / weights.max(1e-9);
         (payoff * if reserved { IN_RESERVE * p.reserve } else { share }).max(1e-6)
     }
 
+    fn least_weight(&self) -> f64 {
+        let (bands, plans) = (0..self.start.bands.len(), 0..self.start.plans.len());
+        let pairs = bands.flat_map(|band| plans.clone().map(move |plan| (band, plan)));
+        let weights = pairs.map(|(b, p)| {
+            let reserved =
+                if self.start.plans[p].reserve > 0.0 { self.weight(b, p, true) } else { f64::INFINITY };
+            self.weight(b, p, false).min(reserved)
+        });
+        weights.fold(f64::INFINITY, f64::min)
+    }
+
     fn join(&mut self, now: Ms, id: usize, node: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
         let (cmd, turn) = (h.cmd.clone(), h.turn);
         let reserved = self.within_reserve(now, &cmd);
-        let (weight, units) = (self.weight(&cmd, reserved), cmd.units);
+        let (weight, units) = (self.weight(cmd.band, cmd.plan, reserved), cmd.units);
         let flow_id = (cmd.volume, reserved);
-        let most = self.start.most_units.max(units);
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
         let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
@@ -598,10 +615,9 @@
         let p = n.potential;
         n.flows.retain(|_, f| f.lined > 0 || now - f.seen < SEEN || f.last_finish > p);
         let all: f64 = n.flows.values().map(|f| f.weight).sum();
-        let least = n.flows.values().map(|f| f.weight).fold(weight, f64::min);
-        n.frame_units = n.frame_units.max(most * all / least);
-        let mut tag =
-            Tag { arrival: p, length: units * all / (n.frame_units * weight), reserved, ..Tag::default() };
+        n.frame_units = self.start.most_units * all / self.least;
+        let length = units * all / (n.frame_units * weight);
+        let mut tag = Tag { arrival: n.potential, length, reserved, ..Tag::default() };
         n.stamp(cmd.volume, &mut tag);
         n.line.push(id);
         self.outside.remove(&turn);
@@ -616,12 +632,12 @@
         let Some(Some(h)) = self.held.get_mut(id) else { return };
         if let Stage::Lined(node) = h.stage {
             h.stage = Stage::Outside;
-            let (volume, units, gone, paid) = (h.cmd.volume, h.cmd.units, h.tag, h.paid_limit);
+            let (volume, units, gone, drew) = (h.cmd.volume, h.cmd.units, h.tag, h.drew_limit);
             self.outside.insert(h.turn, id);
-            if paid && h.hand_offs == 0 {
-                h.paid_limit = false;
+            if drew && h.hand_offs == 0 {
+                h.drew_limit = false;
                 if let Some(store) = self.stores.get_mut(&volume) {
-                    store.units += units;
+                    store.drawn -= units;
                 }
             }
             let Some(n) = &mut self.nodes[node] else { return };
@@ -708,6 +724,10 @@
         n.cold.add(now, h.cmd.units);
         if h.hand_offs > 0 {
             self.further.add(now, 1.0);
+        } else if let Some(store) = self.stores.get_mut(&h.cmd.volume).filter(|_| h.drew_limit) {
+            let plan = &self.start.plans[h.cmd.plan];
+            store.fill(now, plan.limit_rate / h.cmd.hosts, plan.limit_store / h.cmd.hosts);
+            (store.units, store.drawn) = (store.units - h.cmd.units, store.drawn - h.cmd.units);
         }
         h.hand_offs += 1;
         h.stage = Stage::Out(node);
