--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -51,6 +51,15 @@
         Ok(self.parsed(key)?.unwrap_or(false))
     }
 
+    /// The flag at a place of a list of plain values; false where the list is absent or shorter.
+    fn nth_flag(&self, key: &str, i: usize) -> Result<bool, Fault> {
+        match self.0.get(key).and_then(|list| list.split(',').nth(i)) {
+            None | Some("false") | Some("") => Ok(false),
+            Some("true") => Ok(true),
+            Some(other) => Err(format!("start setting {key} has an impossible value {other:?}")),
+        }
+    }
+
     fn one_of<T: Copy>(&self, key: &str, names: &[(&str, T)]) -> Result<Option<T>, Fault> {
         let Some(value) = self.0.get(key) else { return Ok(None) };
         match names.iter().find(|(name, _)| name == value) {
@@ -84,6 +93,7 @@
             group: self.one_of(&key("key_scope"), &groups)?.unwrap_or(Group::Shard),
             memory: self.time(&key("window_ns"))?.unwrap_or(0.0),
             in_order: self.flag(&key("in_turn"))?,
+            writes: self.nth_flag("specifics.changes_data", i)?,
         })
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,8 @@
 const LAST_REST: Ms = 1600.0;
 /// How long a host sleeps at most while it holds commands that nothing else would wake it for.
 const NAP: Ms = 5.0;
+/// The part of a settled write that proves capacity at a cold node: the rest of its work may be put off.
+const WRITE_PROOF: f64 = 0.5;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
 
@@ -303,8 +305,8 @@
         if outcome.never_ran() && h.may_have_run.is_some_and(|m| m.hand_off == h.hand_offs) {
             h.may_have_run = None;
         }
-        let units = h.cmd.units;
-        self.judge(now, node, answer, size, units);
+        let proof = h.cmd.units * if self.start.bands[h.cmd.band].writes { WRITE_PROOF } else { 1.0 };
+        self.judge(now, node, answer, size, proof);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
@@ -736,13 +738,13 @@
     }
 
     /// Moves what is known of a node by an outcome: its window, its latency, its rests.
-    fn judge(&mut self, now: Ms, node: usize, answer: &Answer, size: f64, units: f64) {
+    fn judge(&mut self, now: Ms, node: usize, answer: &Answer, size: f64, proof: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
         let crowded = n.out as f64 >= n.window - 1.0;
         n.out = n.out.saturating_sub(1);
         match answer.outcome {
             Outcome::Settled => {
-                n.proof.add(now, units);
+                n.proof.add(now, proof);
                 let sized = answer.latency * size;
                 n.bests.add(now, sized);
                 let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -33,6 +33,8 @@
     /// How long the group remembers a fingerprint, from the first send that may have run.
     pub memory: Ms,
     pub in_order: bool,
+    /// Its commands change data; part of such work may be put off past the answer.
+    pub writes: bool,
 }
 
 /// What the module reads of a plan; every figure counts for one volume over all hosts and nodes.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,6 +16,7 @@
         group,
         memory: 300.0,
         in_order,
+        writes: in_order,
     };
     let plan = |limit_rate| Plan {
         price: 1.0,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -124,6 +124,21 @@
     assert_eq!(sends(&w, second), 1);
 }
 
+#[test]
+fn a_settled_write_proves_only_half_of_its_units_at_a_cold_node() {
+    let sent = |band| {
+        let mut w = World::new(start());
+        w.pass(1100.0);
+        w.set(0, Condition::Ready, Some(w.now));
+        let of = |units| Command { band, units, time_limit: 3000.0, ..command() };
+        let first = w.take(of(4.0));
+        w.outcome(first, Outcome::Settled);
+        let (second, third) = (w.take(of(4.0)), w.take(of(1.0)));
+        [sends(&w, second), sends(&w, third)]
+    };
+    assert_eq!((sent(0), sent(1)), ([1, 1], [1, 0]));
+}
+
 #[test]
 fn a_binding_command_is_repeated_only_on_proof() {
     let mut w = World::new(start());
