Keep commands past their soft limit out of jammed nodes; later tries only by a usual limit

Told from slow nodes by a low median beside the high late share. Should hold in any retry storm; it could harm where late answers pay nearly as much as those in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,10 +35,13 @@
 const NAP: Ms = 5.0;
 /// The part of a settled write that proves capacity at a cold node: the rest of its work may be put off.
 const WRITE_PROOF: f64 = 0.5;
+/// The part of a band's commands with its longest time limit from which shorter ones mean later tries.
+const USUAL: f64 = 0.3;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
 
 /// Sums over fixed buckets of time, used again in a ring.
+#[derive(Default)]
 struct Ring {
     slot: Ms,
     at: i64,
@@ -152,6 +155,7 @@
     lined: u32,
 }
 
+#[derive(Default)]
 struct Node {
     entry: Entry,
     line: Vec<usize>,
@@ -235,7 +239,8 @@
     keys: BTreeMap<usize, (VecDeque<usize>, Ms)>,
     stores: BTreeMap<usize, Store>,
     dues: BTreeMap<usize, Store>,
-    longest: Vec<Ms>,
+    /// By band: the longest time limit met, how many commands had it and how many had any.
+    limits: Vec<(Ms, f64, f64)>,
     taken: Ring,
     further: Ring,
     ask_at: Option<Ms>,
@@ -259,7 +264,7 @@
             keys: BTreeMap::new(),
             stores: BTreeMap::new(),
             dues: BTreeMap::new(),
-            longest: vec![0.0; start.bands.len()],
+            limits: vec![(0.0, 0.0, 0.0); start.bands.len()],
             taken: Ring::new(window, PARTS),
             further: Ring::new(window, PARTS),
             ask_at: start.ask_within.map(|_| now),
@@ -396,23 +401,15 @@
                     node.entry = entry.clone();
                 }
                 empty => {
+                    let part = self.start.fall_time / PARTS as f64;
                     *empty = Some(Node {
                         entry: entry.clone(),
-                        line: Vec::new(),
-                        flows: BTreeMap::new(),
-                        potential: 0.0,
-                        frame: 0,
-                        counters: BTreeMap::new(),
-                        frame_units: 0.0,
-                        out: 0,
                         window: FLOOR,
-                        latency: None,
                         bests: Ring::new(BEST_SLOT, BEST_SLOTS),
-                        cold: Ring::new(self.start.fall_time / PARTS as f64, PARTS),
-                        proof: Ring::new(self.start.fall_time / PARTS as f64, PARTS),
-                        unanswered: None,
+                        cold: Ring::new(part, PARTS),
+                        proof: Ring::new(part, PARTS),
                         rest: FIRST_REST,
-                        rests_until: now,
+                        ..Node::default()
                     });
                 }
             }
@@ -439,10 +436,7 @@
                 }
             }
             Stage::Over(_) => {}
-            _ => {
-                self.unline(id);
-                self.forget(now, id);
-            }
+            _ => _ = self.end(now, id),
         }
     }
 
@@ -450,11 +444,17 @@
         self.taken.add(now, 1.0);
         self.turns += 1;
         // A client's later try comes with less time than a first one and counts against the first's soft
-        // limit; the longest time limit seen tells by how much, whether or not clients mark their repeats.
-        let longest = &mut self.longest[cmd.band];
-        *longest = longest.max(cmd.time_limit);
+        // limit; the longest time limit met tells by how much, whether or not clients mark their repeats.
+        // Guards against places taken by what is late already; not to be read into limits that just vary.
+        let (longest, usual, all) = &mut self.limits[cmd.band];
+        if cmd.time_limit > *longest + 1.0 {
+            (*longest, *usual, *all) = (cmd.time_limit, 0.0, 0.0);
+        }
+        *all += 1.0;
+        *usual += f64::from(cmd.time_limit > *longest - 1.0);
+        let spent = if *usual >= USUAL * *all { *longest - cmd.time_limit } else { 0.0 };
         let band = &self.start.bands[cmd.band];
-        let late_at = now + band.soft_limit - (*longest - cmd.time_limit);
+        let late_at = now + band.soft_limit - spent;
         let ends = now + cmd.time_limit - 2.0 * self.start.round;
         let mut cmd = cmd.clone();
         if !band.in_order {
@@ -672,10 +672,15 @@
             return None;
         }
         let (room, further) = (self.cold_room(now, node), self.budget_has_room(now));
+        let jammed = self.nodes[node].as_ref().is_some_and(|n| n.latency.unwrap_or(0.0) > self.tight);
         let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
             let h = self.held[id].as_ref()?;
-            let may = now < h.ends && h.cmd.units <= room && (further || h.hand_offs == 0);
-            (may && self.repeats_fit(now, h, node)).then(|| (self.late(now, h), h.tag.finish, h.turn, id))
+            let late = self.late(now, h);
+            let may = now < h.ends
+                && !(jammed && now >= h.late_at)
+                && h.cmd.units <= room
+                && (further || h.hand_offs == 0);
+            (may && self.repeats_fit(now, h, node)).then(|| (late, h.tag.finish, h.turn, id))
         });
         let first = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         first.map(|rank| rank.3)
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -179,15 +179,16 @@
 }
 
 /// What the list says of a node's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// A line of the list of nodes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub node: usize,
     pub zone: usize,
