--- a/src/brain.rs
+++ b/src/brain.rs
@@ -680,7 +680,7 @@
                 && !(jammed && now >= h.late_at)
                 && h.cmd.units <= room
                 && (further || h.hand_offs == 0);
-            (may && self.repeats_fit(now, h, node)).then(|| (late, h.tag.finish, h.turn, id))
+            (may && self.repeats_fit(now, h, node)).then_some((late, h.tag.finish, h.turn, id))
         });
         let first = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         first.map(|rank| rank.3)
