Cancel hand-offs whose answers are lost, and try silent nodes with doubling rests

A hand-off out for its band's soft limit at a silent node, or passed by eight later ones, is now cancelled, and its command tried again where band, budget and time allow. Should hold against hangs, lost answers and stuck connections alike; could harm where single commands take many times the usual work and nodes go on with cancelled work.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,9 +25,11 @@
 const BEST_SLOTS: usize = 12;
 /// A volume counts into the weights at a node for this long after its last command there.
 const SEEN: Ms = 2000.0;
-/// A node that answers nothing for this long, and for this multiple of its latency, is silent.
-const SILENT_AFTER: Ms = 300.0;
-const SILENT_TIMES: f64 = 4.0;
+/// A node that answers nothing for this part of a soft limit, and for this multiple of its
+/// latency, is silent; a hand-off out as long that this many later ones have passed is lost.
+const PATIENCE: f64 = 1.0;
+const PATIENCE_TIMES: f64 = 4.0;
+const PASSED: u32 = 8;
 /// Waits between tries at a silent or refusing node: the first, doubled up to the last.
 const FIRST_REST: Ms = 50.0;
 const LAST_REST: Ms = 1600.0;
@@ -122,32 +124,12 @@
     late_at: Ms,
     ends: Ms,
     hand_offs: u32,
-    may_have_run: Option<MayHaveRun>,
+    /// The first hand-off not known not to have run: its number, when and where it went.
+    may_have_run: Option<(u32, Ms, usize)>,
     not_before: Ms,
     drew_limit: bool,
 }
 
-impl Held {
-    fn lined(&self) -> Option<usize> {
-        match self.stage {
-            Stage::Lined(node) => Some(node),
-            _ => None,
-        }
-    }
-
-    fn waits(&self) -> bool {
-        matches!(self.stage, Stage::Outside | Stage::Lined(_))
-    }
-}
-
-/// The first hand-off of a command that is not known not to have run: its number, when and where it went.
-#[derive(Clone, Copy)]
-struct MayHaveRun {
-    hand_off: u32,
-    at: Ms,
-    node: usize,
-}
-
 struct Flow {
     last_finish: f64,
     weight: f64,
@@ -155,6 +137,16 @@
     lined: u32,
 }
 
+/// A hand-off that is out; `passed` counts those sent after it and answered before it.
+struct Out {
+    id: usize,
+    hand_off: u32,
+    at: Ms,
+    patience: Ms,
+    passed: u32,
+    cancelled: bool,
+}
+
 #[derive(Default)]
 struct Node {
     entry: Entry,
@@ -164,21 +156,20 @@
     frame: i64,
     counters: BTreeMap<i64, u32>,
     frame_units: f64,
-    out: u32,
+    out: Vec<Out>,
     window: f64,
     latency: Option<f64>,
     bests: Ring,
     cold: Ring,
     proof: Ring,
-    /// Since when hand-offs are out without an answer to any.
-    unanswered: Option<Ms>,
+    answered: Ms,
     rest: Ms,
     rests_until: Ms,
 }
 
 impl Node {
     fn reset_if_idle(&mut self) {
-        if self.line.is_empty() && self.out == 0 {
+        if self.line.is_empty() && self.out.is_empty() {
             self.flows.values_mut().for_each(|f| f.last_finish = 0.0);
             self.counters.clear();
             (self.potential, self.frame, self.frame_units) = (0.0, 0, 0.0);
@@ -204,12 +195,23 @@
 
     fn has_place(&self, now: Ms) -> bool {
         let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
-        open && (self.out as f64) < self.window && !self.silent(now)
+        open && (self.out.len() as f64) < self.window && !self.silent(now)
+    }
+
+    fn set_back(&mut self, now: Ms, part: f64) {
+        self.window = (self.window * part).max(JAM_FLOOR);
+        if now >= self.rests_until {
+            self.rests_until = now + self.rest;
+            self.rest = (self.rest * 2.0).min(LAST_REST);
+        }
+    }
+
+    fn overdue(&self, now: Ms, out: &Out, since: Ms) -> bool {
+        now - since > out.patience.max(PATIENCE_TIMES * self.latency.unwrap_or(0.0))
     }
 
     fn silent(&self, now: Ms) -> bool {
-        let patience = SILENT_AFTER.max(SILENT_TIMES * self.latency.unwrap_or(0.0));
-        self.unanswered.is_some_and(|since| now - since > patience)
+        self.out.first().is_some_and(|o| self.overdue(now, o, o.at.max(self.answered)))
     }
 }
 
@@ -245,7 +247,6 @@
     further: Ring,
     ask_at: Option<Ms>,
     ask_rest: Ms,
-    cancels: Vec<(usize, u32)>,
     tight: Ms,
     /// The smallest weight that any volume can have.
     least: f64,
@@ -269,7 +270,6 @@
             further: Ring::new(window, PARTS),
             ask_at: start.ask_within.map(|_| now),
             ask_rest: FIRST_REST,
-            cancels: Vec::new(),
             tight: TIGHT * start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
             least: f64::INFINITY,
             start,
@@ -287,12 +287,9 @@
             self.take(now, id, cmd);
         }
         self.line_up(now, id);
-        let lined = self.held[id].as_ref().and_then(|h| h.lined());
-        if let Some(node) = lined.filter(|&node| self.next_of(now, node) == Some(id)) {
-            return self.send(now, id, node);
-        }
-        match &self.held[id] {
-            Some(h) if h.waits() && self.hopeless(now, h) => Where::Never(self.end(now, id)),
+        match self.held[id].as_ref().map(|h| (h.stage, self.hopeless(now, h))) {
+            Some((Stage::Lined(node), _)) if self.next_of(now, node) == Some(id) => self.send(now, id, node),
+            Some((Stage::Lined(_) | Stage::Outside, true)) => Where::Never(self.end(now, id)),
             _ => Where::NotYet,
         }
     }
@@ -307,11 +304,11 @@
         if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
             due.units = (due.units - answer.others).max(-self.start.plans[h.cmd.plan].reserve);
         }
-        if outcome.never_ran() && h.may_have_run.is_some_and(|m| m.hand_off == h.hand_offs) {
+        if outcome.never_ran() && h.may_have_run.is_some_and(|(number, ..)| number == h.hand_offs) {
             h.may_have_run = None;
         }
         let proof = h.cmd.units * if self.start.bands[h.cmd.band].writes { WRITE_PROOF } else { 1.0 };
-        self.judge(now, node, answer, size, proof);
+        self.judge(now, id, node, answer, size, proof);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
@@ -326,10 +323,8 @@
         h.not_before = if outcome.never_ran() { now + FIRST_REST } else { now };
         self.outside.insert(h.turn, id);
         let may = self.held[id].as_ref().is_some_and(|h| {
-            let known = h.may_have_run.map_or(node, |m| m.node);
-            h.hand_offs < self.start.max_hand_offs
-                && self.repeats_fit(now, h, known)
-                && !self.hopeless(now, h)
+            let fits = self.repeats_fit(now, h, h.may_have_run.map_or(node, |m| m.2));
+            fits && h.hand_offs < self.start.max_hand_offs && !self.hopeless(now, h)
         });
         if may && self.budget_has_room(now) {
             return Next::Hold;
@@ -339,8 +334,8 @@
 
     /// What is due, or until when nothing is.
     pub fn wait(&mut self, now: Ms) -> Due {
-        if let Some((command, hand_off)) = self.cancels.pop() {
-            return Due::Cancel { command, hand_off };
+        if let Some(cancel) = self.next_cancel(now) {
+            return cancel;
         }
         if self.ask_at.is_some_and(|at| now >= at) {
             // An answer that never comes is asked for again before the host counts as told of an old list.
@@ -357,6 +352,9 @@
             }
         }
         let mut until = self.ask_at.unwrap_or(now + 1000.0);
+        if self.nodes.iter().flatten().any(|n| !n.out.is_empty()) {
+            until = until.min(now + 4.0 * NAP);
+        }
         let lined = self.nodes.iter().flatten().flat_map(|n| n.line.iter());
         for &id in self.outside.values().chain(lined) {
             let Some(h) = &self.held[id] else { continue };
@@ -368,6 +366,22 @@
         Due::Until(until)
     }
 
+    /// The next hand-off to cancel: its client has gone, or its answer is not to be hoped for. The latter
+    /// guards the places of a window against answers that get lost and nodes that take work and answer
+    /// nothing, whatever the cause; it could harm where single commands take many times the usual work.
+    fn next_cancel(&mut self, now: Ms) -> Option<Due> {
+        for n in self.nodes.iter_mut().flatten().filter(|_| self.start.may_cancel) {
+            let silent = n.silent(now);
+            let lost = |n: &Node, o: &Out| n.overdue(now, o, o.at) && (silent || o.passed >= PASSED);
+            let due = n.out.iter().position(|o| !o.cancelled && lost(n, o));
+            if let Some(o) = due.map(|i| &mut n.out[i]) {
+                o.cancelled = true;
+                return Some(Due::Cancel { command: o.id, hand_off: o.hand_off });
+            }
+        }
+        None
+    }
+
     /// The list of nodes, or what changed in it.
     pub fn listed(&mut self, now: Ms, news: News, entries: &[Entry]) {
         if news == News::Failed {
@@ -415,14 +429,9 @@
             }
         }
         // Commands lined at a node that drains or went wait for the node that takes its shard.
-        for node in 0..self.nodes.len() {
-            let Some(n) = &self.nodes[node] else { continue };
-            if n.entry.condition != Condition::Ready {
-                for id in n.line.clone() {
-                    self.unline(id);
-                }
-            }
-        }
+        let unusable = self.nodes.iter().flatten().filter(|n| n.entry.condition != Condition::Ready);
+        let moved: Vec<usize> = unusable.flat_map(|n| n.line.clone()).collect();
+        moved.into_iter().for_each(|id| self.unline(id));
     }
 
     /// The client has gone: nothing is owed any more.
@@ -431,9 +440,8 @@
         match h.stage {
             Stage::Out(node) => {
                 h.stage = Stage::Over(node);
-                if self.start.may_cancel {
-                    self.cancels.push((id, h.hand_offs - 1));
-                }
+                let out = self.nodes[node].iter_mut().flat_map(|n| &mut n.out);
+                out.filter(|o| o.id == id).for_each(|o| (o.at, o.passed) = (f64::NEG_INFINITY, PASSED));
             }
             Stage::Over(_) => {}
             _ => _ = self.end(now, id),
@@ -517,9 +525,8 @@
         if !n.has_place(now) || n.line.iter().any(names_none) {
             return;
         }
-        if let Some(id) =
-            self.outside.values().copied().find(|id| names_none(id) && self.free(now, *id, node))
-        {
+        let mut open = self.outside.values().copied();
+        if let Some(id) = open.find(|id| names_none(id) && self.free(now, *id, node)) {
             if self.draw_limit(now, id) {
                 self.join(now, id, node);
             }
@@ -537,13 +544,13 @@
 
     /// Whether a command may be handed to this node as far as its earlier hand-offs go.
     fn repeats_fit(&self, now: Ms, h: &Held, node: usize) -> bool {
-        let Some(earlier) = h.may_have_run else { return true };
+        let Some((_, at, earlier)) = h.may_have_run else { return true };
         let band = &self.start.bands[h.cmd.band];
-        let (Some(to), Some(from)) = (&self.nodes[node], &self.nodes[earlier.node]) else { return false };
+        let (Some(to), Some(from)) = (&self.nodes[node], &self.nodes[earlier]) else { return false };
         match (band.repeats, band.group) {
             (Repeats::Retriable, _) => true,
             (Repeats::Binding, _) => false,
-            (_, _) if now + self.start.round >= earlier.at + band.memory => false,
+            (_, _) if now + self.start.round >= at + band.memory => false,
             (_, Group::All) => true,
             (_, Group::Zone) => to.entry.zone == from.entry.zone,
             (_, Group::Shard) => to.entry.shard == from.entry.shard,
@@ -588,17 +595,13 @@
         let p = &plans[plan];
         let payoff = p.price * self.start.bands[band].payoff;
         let share = self.start.share_payoff * p.weight * rates / weights.max(1e-9);
-        (payoff * if reserved { IN_RESERVE * p.reserve } else { share }).max(1e-6)
+        (payoff * if reserved && p.reserve > 0.0 { IN_RESERVE * p.reserve } else { share }).max(1e-6)
     }
 
     fn least_weight(&self) -> f64 {
         let (bands, plans) = (0..self.start.bands.len(), 0..self.start.plans.len());
-        let pairs = bands.flat_map(|band| plans.clone().map(move |plan| (band, plan)));
-        let weights = pairs.map(|(b, p)| {
-            let reserved =
-                if self.start.plans[p].reserve > 0.0 { self.weight(b, p, true) } else { f64::INFINITY };
-            self.weight(b, p, false).min(reserved)
-        });
+        let pairs = bands.flat_map(|b| plans.clone().map(move |p| (b, p)));
+        let weights = pairs.flat_map(|(b, p)| [self.weight(b, p, false), self.weight(b, p, true)]);
         weights.fold(f64::INFINITY, f64::min)
     }
 
@@ -607,11 +610,10 @@
         let (cmd, turn) = (h.cmd.clone(), h.turn);
         let reserved = self.within_reserve(now, &cmd);
         let (weight, units) = (self.weight(cmd.band, cmd.plan, reserved), cmd.units);
-        let flow_id = (cmd.volume, reserved);
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
         let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
-        let flow = n.flows.entry(flow_id).or_insert(fresh);
+        let flow = n.flows.entry((cmd.volume, reserved)).or_insert(fresh);
         flow.seen = now;
         flow.lined += 1;
         let p = n.potential;
@@ -652,10 +654,8 @@
             (flow.last_finish, flow.lined) = (gone.start, flow.lined - 1);
             for other in n.line.clone() {
                 let Some(Some(later)) = self.held.get_mut(other) else { continue };
-                if later.cmd.volume == volume
-                    && later.tag.reserved == gone.reserved
-                    && later.tag.start >= gone.start
-                {
+                let same = (later.cmd.volume, later.tag.reserved) == (volume, gone.reserved);
+                if same && later.tag.start >= gone.start {
                     n.unmark(&later.tag);
                     n.stamp(volume, &mut later.tag);
                 }
@@ -676,10 +676,8 @@
         let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
             let h = self.held[id].as_ref()?;
             let late = self.late(now, h);
-            let may = now < h.ends
-                && !(jammed && now >= h.late_at)
-                && h.cmd.units <= room
-                && (further || h.hand_offs == 0);
+            let fits = h.cmd.units <= room && (further || h.hand_offs == 0);
+            let may = fits && now < h.ends && !(jammed && now >= h.late_at);
             (may && self.repeats_fit(now, h, node)).then_some((late, h.tag.finish, h.turn, id))
         });
         let first = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -726,8 +724,9 @@
             n.potential = n.potential.max(reached as f64);
             n.counters = n.counters.split_off(&reached);
         }
-        n.out += 1;
-        n.unanswered.get_or_insert(now);
+        let hand_off = h.hand_offs;
+        let patience = PATIENCE * self.start.bands[h.cmd.band].soft_limit;
+        n.out.push(Out { id, hand_off, at: now, patience, passed: 0, cancelled: false });
         n.cold.add(now, h.cmd.units);
         if h.hand_offs > 0 {
             self.further.add(now, 1.0);
@@ -738,15 +737,17 @@
         }
         h.hand_offs += 1;
         h.stage = Stage::Out(node);
-        h.may_have_run.get_or_insert(MayHaveRun { hand_off: h.hand_offs, at: now, node });
+        h.may_have_run.get_or_insert((h.hand_offs, now, node));
         Where::To { node, time_out: h.ends - now }
     }
 
     /// Moves what is known of a node by an outcome: its window, its latency, its rests.
-    fn judge(&mut self, now: Ms, node: usize, answer: &Answer, size: f64, proof: f64) {
+    fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, size: f64, proof: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
-        let crowded = n.out as f64 >= n.window - 1.0;
-        n.out = n.out.saturating_sub(1);
+        let crowded = n.out.len() as f64 >= n.window - 1.0;
+        let silent = n.silent(now);
+        let Some(place) = n.out.iter().position(|o| o.id == id) else { return };
+        n.out.remove(place);
         match answer.outcome {
             Outcome::Settled => {
                 n.proof.add(now, proof);
@@ -763,21 +764,15 @@
                     n.window = (n.window + 1.0 / n.window).min(CEILING);
                 }
                 n.rest = FIRST_REST;
+                n.out[..place].iter_mut().for_each(|o| o.passed += 1);
             }
-            Outcome::Full | Outcome::NoConnection | Outcome::Reset => {
-                n.window = (n.window / 2.0).max(JAM_FLOOR);
-                n.rests_until = now + n.rest;
-                n.rest = (n.rest * 2.0).min(LAST_REST);
-            }
-            // Tried again with one command where a node has answered nothing until its time was up.
-            Outcome::TimedOut if n.silent(now) => n.window = JAM_FLOOR,
+            Outcome::Full | Outcome::NoConnection | Outcome::Reset => n.set_back(now, 0.5),
+            // A node that answered nothing until then is tried again with one command at a time.
+            Outcome::TimedOut | Outcome::Cancelled if silent => n.set_back(now, 0.0),
             _ => {}
         }
         if !matches!(answer.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
-            n.unanswered = Some(now);
-        }
-        if n.out == 0 {
-            n.unanswered = None;
+            n.answered = now;
         }
         n.reset_if_idle();
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -113,7 +113,8 @@
     /// Level and time of each limited volume's true store, over restarts of the host too.
     stores: BTreeMap<usize, (f64, Ms)>,
     pub asked: u32,
-    pub cancelled: u32,
+    /// Commands whose hand-off was cancelled; time brings the outcome.
+    pub cancelled: Vec<usize>,
     restarted: Ms,
 }
 
@@ -135,7 +136,7 @@
             further,
             stores,
             asked: 0,
-            cancelled: 0,
+            cancelled: Vec::new(),
             restarted: f64::NEG_INFINITY,
         };
         w.list(News::Remembered);
@@ -157,6 +158,7 @@
     pub fn restart(&mut self) {
         self.seen.clear();
         self.further.clear();
+        self.cancelled.clear();
         self.brain = Brain::new(self.start.clone(), self.now);
         self.restarted = self.now;
         self.list(News::Remembered);
@@ -207,7 +209,7 @@
         for _ in 0..10_000 {
             match self.brain.wait(self.now) {
                 Due::Ask(id) => self.ask(id),
-                Due::Cancel { .. } => self.cancelled += 1,
+                Due::Cancel { command, .. } => self.cancelled.push(command),
                 Due::Probe(_) => {}
                 Due::Watch => self.asked += 1,
                 Due::Until(at) => return at.max(self.now + ROUND),
@@ -221,6 +223,9 @@
         let end = self.now + time;
         while self.now < end {
             self.now = self.drain().min(self.now + 10.0).min(end);
+            for id in std::mem::take(&mut self.cancelled) {
+                self.outcome(id, Outcome::Cancelled);
+            }
             for id in 0..self.seen.len() {
                 let last = self.seen[id].hand_offs.last();
                 if last.is_some_and(|h| h.ended.is_none() && self.now >= h.at + h.time_out) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -179,6 +179,34 @@
     assert!(w.seen[again].answered.is_some());
 }
 
+#[test]
+fn a_hand_off_whose_answer_is_lost_gives_its_place_back_and_is_tried_again() {
+    let mut s = start();
+    s.bands[0].soft_limit = 500.0;
+    let settled_later = |others: usize| {
+        let mut w = World::new(s.clone());
+        let lost = w.take(in_volume(1));
+        w.pass(150.0);
+        for _ in 0..others {
+            let id = w.take(in_volume(1));
+            w.pass(20.0);
+            w.outcome(id, Outcome::Settled);
+        }
+        w.pass(400.0 - 20.0 * others as f64);
+        (sends(&w, lost), w.seen[lost].answered.is_some())
+    };
+    assert_eq!((settled_later(3), settled_later(10)), ((1, false), (1, true)));
+    // A silent node is tried again, each time after a longer rest.
+    let mut w = full(s);
+    w.pass(550.0);
+    let before = w.sent.len();
+    (0..60).for_each(|_| {
+        w.take(in_volume(1));
+        w.pass(100.0);
+    });
+    assert!((3..12).contains(&(w.sent.len() - before)), "{}", w.sent.len() - before);
+}
+
 #[test]
 fn what_is_past_its_soft_limit_takes_no_place_at_a_jammed_node() {
     let mut w = World::new(start());
@@ -266,5 +294,5 @@
     let mut w = World::new(start());
     let id = w.take(command());
     w.give_up(id);
-    assert_eq!(w.cancelled, 1);
+    assert_eq!(w.cancelled, [id]);
 }
