Forget proof of a cold node's capacity at its restart; a settled read proves nine tenths

What a node settled warm counted after its own restart; and runs of one key settle more units than their work. Should hold for restarts in place and for costly commands too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,7 +35,9 @@
 const LAST_REST: Ms = 1600.0;
 /// How long a host sleeps at most while it holds commands that nothing else would wake it for.
 const NAP: Ms = 5.0;
-/// The part of a settled write that proves capacity at a cold node: the rest of its work may be put off.
+/// The parts of a settled read and write that prove capacity at a cold node: a repeated key costs less than
+/// its units, and part of a write may be put off.
+const READ_PROOF: f64 = 0.9;
 const WRITE_PROOF: f64 = 0.5;
 /// The part of a band's commands with its longest time limit from which shorter ones mean later tries.
 const USUAL: f64 = 0.3;
@@ -307,7 +309,7 @@
         if outcome.never_ran() && h.may_have_run.is_some_and(|(number, ..)| number == h.hand_offs) {
             h.may_have_run = None;
         }
-        let proof = h.cmd.units * if self.start.bands[h.cmd.band].writes { WRITE_PROOF } else { 1.0 };
+        let proof = h.cmd.units * if self.start.bands[h.cmd.band].writes { WRITE_PROOF } else { READ_PROOF };
         self.judge(now, id, node, answer, size, proof);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
@@ -411,6 +413,8 @@
                 Some(node) => {
                     if node.entry.started != entry.started {
                         (node.window, node.rests_until) = (FLOOR, now);
+                        // What it settled as it was before proves nothing of a node that is cold again.
+                        node.proof = Ring::new(self.start.fall_time / PARTS as f64, PARTS);
                     }
                     node.entry = entry.clone();
                 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -124,6 +124,27 @@
     assert_eq!(sends(&w, second), 1);
 }
 
+#[test]
+fn what_a_node_settled_before_its_restart_proves_nothing_after_it() {
+    let mut w = World::new(start());
+    w.pass(1100.0);
+    (0..20).for_each(|_| {
+        let id = w.take(command());
+        w.outcome(id, Outcome::Settled);
+    });
+    w.pass(950.0);
+    let before = w.sent.len();
+    (0..4).for_each(|_| {
+        let id = w.take(command());
+        w.outcome(id, Outcome::Settled);
+    });
+    w.set(0, Condition::Ready, Some(w.now));
+    w.settled.clear();
+    w.pass(100.0);
+    (0..8).for_each(|_| _ = w.take(command()));
+    assert_eq!(w.sent.len() - before, 6);
+}
+
 #[test]
 fn a_settled_write_proves_only_half_of_its_units_at_a_cold_node() {
     let sent = |band| {
