--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,27 +7,30 @@
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 
-/// The window of hand-offs out at one node: the design's floor, start and ceiling, and the floor of the
-/// departure that acts while a node answers slower than `TIGHT` of the shortest soft limit.
+/// The window of hand-offs out at one node: the design's floor and start, and its ceiling.
 const FLOOR: f64 = 4.0;
 const CEILING: f64 = 32.0;
-const JAM_FLOOR: f64 = 1.0;
+/// Departures while a node answers slower than these parts of the shortest soft limit: the window falls to
+/// one, and under one to the floor of a jam. Under one it widens by this with an answer.
 const TIGHT: f64 = 0.15;
-/// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
+const JAMMED: f64 = 0.6;
+const JAM_FLOOR: f64 = 0.01;
+const JAM_STEP: f64 = 0.05;
+/// How much more than its payoff a volume's reserve counts.
 const IN_RESERVE: f64 = 4.0;
+/// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
 const NEAR_BEST: f64 = 1.5;
 const FAR_FROM_BEST: f64 = 2.5;
 const NARROWING: f64 = 0.1;
 /// How much one answer moves the smoothed latency.
-const SMOOTHING: f64 = 0.08;
-/// Recent best: buckets of this length, kept this many, each judged by its mean of at least three answers.
-const BEST_SLOT: Ms = 1000.0;
-const BEST_SLOTS: usize = 12;
+const SMOOTHING: f64 = 0.15;
+/// Buckets for a node's latencies (the recent best is the lowest mean of three or more) and settled units.
+const SLOT: Ms = 1000.0;
+const SLOTS: usize = 12;
 /// A volume counts into the weights at a node for this long after its last command there.
 const SEEN: Ms = 2000.0;
-/// A node that answers nothing for this part of a soft limit, and for this multiple of its
-/// latency, is silent; a hand-off out as long that this many later ones have passed is lost.
-const PATIENCE: f64 = 1.0;
+/// A node that answers nothing for a soft limit, and for this multiple of its latency, is silent; a hand-off
+/// out as long that this many later ones have passed is lost.
 const PATIENCE_TIMES: f64 = 4.0;
 const PASSED: u32 = 8;
 /// Waits between tries at a silent or refusing node: the first, doubled up to the last.
@@ -35,12 +38,10 @@
 const LAST_REST: Ms = 1600.0;
 /// How long a host sleeps at most while it holds commands that nothing else would wake it for.
 const NAP: Ms = 5.0;
-/// The parts of a settled read and write that prove capacity at a cold node: a repeated key costs less than
-/// its units, and part of a write may be put off.
-const READ_PROOF: f64 = 0.9;
-const WRITE_PROOF: f64 = 0.5;
-/// The part of a band's commands with its longest time limit from which shorter ones mean later tries.
+/// The part of a band's and plan's commands with their longest time limit from which shorter ones mean later
+/// tries, and how much of what was counted stays with each command.
 const USUAL: f64 = 0.3;
+const RECENT: f64 = 0.95;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
 
@@ -73,16 +74,10 @@
         self.sums[i].1 += 1.0;
     }
 
-    /// Never less than what came within the ring's whole time.
-    fn at_least(&mut self, now: Ms) -> f64 {
-        self.turn(now);
-        self.sums.iter().map(|s| s.0).sum()
-    }
-
-    /// Never more than what came within the ring's whole time.
-    fn at_most(&mut self, now: Ms) -> f64 {
+    /// What came within the ring's whole time: never less than that, or never more.
+    fn sum(&mut self, now: Ms, at_least: bool) -> f64 {
         let oldest = (self.turn(now) + 1) % self.sums.len();
-        self.sums.iter().enumerate().filter(|(i, _)| *i != oldest).map(|(_, s)| s.0).sum()
+        self.sums.iter().enumerate().filter(|(i, _)| at_least || *i != oldest).map(|(_, s)| s.0).sum()
     }
 
     fn lowest_mean(&mut self, now: Ms) -> Option<f64> {
@@ -91,8 +86,8 @@
     }
 }
 
-/// Where a held command stands: outside the lines (its key, its limit or its node forbids it for now), in
-/// the line of a node, out at one, or over while its last hand-off is still out.
+/// Where a held command stands: outside the lines (its key, limit or node forbids it for now), in the line of
+/// a node, out at one, or over while its last hand-off is still out.
 #[derive(Clone, Copy, PartialEq)]
 enum Stage {
     Outside,
@@ -101,13 +96,11 @@
     Over(usize),
 }
 
-/// The tags of a lined command; `arrival` is the potential it found, `length` its units over its allotment.
+/// The tags of a lined command.
 #[derive(Clone, Copy, Default)]
 struct Tag {
-    arrival: f64,
     start: f64,
     finish: f64,
-    length: f64,
     reserved: bool,
 }
 
@@ -121,6 +114,8 @@
 struct Held {
     cmd: Command,
     turn: u64,
+    /// When the client first tried.
+    first: Ms,
     stage: Stage,
     tag: Tag,
     late_at: Ms,
@@ -162,8 +157,11 @@
     window: f64,
     latency: Option<f64>,
     bests: Ring,
-    cold: Ring,
-    proof: Ring,
+    /// What it settled for this host lately, and the units that it may be sent while it is cold.
+    served: Ring,
+    credit: f64,
+    credited: Ms,
+    sent: Ms,
     answered: Ms,
     rest: Ms,
     rests_until: Ms,
@@ -184,20 +182,12 @@
         }
     }
 
-    /// Gives `tag` its place behind the volume's last finish and counts it where it spans frames.
-    fn stamp(&mut self, volume: usize, tag: &mut Tag) {
-        let Some(flow) = self.flows.get_mut(&(volume, tag.reserved)) else { return };
-        tag.start = flow.last_finish.max(tag.arrival);
-        tag.finish = tag.start + tag.length;
-        flow.last_finish = tag.finish;
-        if let Some(frame) = tag.marked() {
-            *self.counters.entry(frame).or_insert(0) += 1;
-        }
-    }
-
-    fn has_place(&self, now: Ms) -> bool {
+    /// Whether there is a place for a command, by whether its volume's reserve covers it.
+    fn has_place(&self, now: Ms, reserved: bool) -> bool {
         let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
-        open && (self.out.len() as f64) < self.window && !self.silent(now)
+        let rest = self.latency.unwrap_or(0.0) / self.window;
+        let rested = reserved || self.window >= 1.0 || now >= self.sent + rest;
+        open && rested && (self.out.len() as f64) < self.window.max(1.0) && !self.silent(now)
     }
 
     fn set_back(&mut self, now: Ms, part: f64) {
@@ -217,6 +207,9 @@
     }
 }
 
+/// Volume, key, band and units: what a client's later try shares with the first.
+type Again = (usize, usize, usize, u64);
+
 struct Store {
     units: f64,
     filled: Ms,
@@ -231,6 +224,16 @@
     }
 }
 
+/// What a volume's service pays: its reserve in full, its share by weight at the share's part.
+fn weight(s: &Start, band: usize, plan: usize, reserved: bool) -> f64 {
+    let rates: f64 = s.plans.iter().map(|p| p.rate).sum();
+    let weights: f64 = s.plans.iter().map(|p| p.weight).sum();
+    let p = &s.plans[plan];
+    let share = s.share_payoff * p.weight * rates / weights.max(1e-9);
+    let part = if reserved && p.reserve > 0.0 { IN_RESERVE * p.reserve } else { share };
+    (p.price * s.bands[band].payoff * part).max(1e-6)
+}
+
 /// One host's module.
 pub struct Brain {
     start: Start,
@@ -243,13 +246,18 @@
     keys: BTreeMap<usize, (VecDeque<usize>, Ms)>,
     stores: BTreeMap<usize, Store>,
     dues: BTreeMap<usize, Store>,
-    /// By band: the longest time limit met, how many commands had it and how many had any.
+    /// By band and plan: the longest time limit met, how many commands had it lately and how many any.
     limits: Vec<(Ms, f64, f64)>,
+    /// Commands that failed lately: when, which, and when they were first tried.
+    tries: VecDeque<(Ms, Again, Ms)>,
+    /// By shard: what its node settled for this host a millisecond, when it was last seen warm.
+    usual: BTreeMap<usize, f64>,
     taken: Ring,
     further: Ring,
     ask_at: Option<Ms>,
     ask_rest: Ms,
-    tight: Ms,
+    /// The shortest of all bands.
+    soft_limit: Ms,
     /// The smallest weight that any volume can have.
     least: f64,
 }
@@ -257,7 +265,9 @@
 impl Brain {
     pub fn new(start: Start, now: Ms) -> Brain {
         let window = start.budget.as_ref().map_or(1000.0, |b| b.window) / PARTS as f64;
-        let mut brain = Brain {
+        let (bands, plans) = (start.bands.len(), start.plans.len());
+        let weights = (0..2 * bands * plans).map(|i| weight(&start, i / 2 / plans, i / 2 % plans, i % 2 > 0));
+        Brain {
             chance: WyRand::new_seed(start.seed),
             born: now,
             turns: 0,
@@ -267,17 +277,17 @@
             keys: BTreeMap::new(),
             stores: BTreeMap::new(),
             dues: BTreeMap::new(),
-            limits: vec![(0.0, 0.0, 0.0); start.bands.len()],
+            limits: vec![(0.0, 0.0, 0.0); bands * plans.max(1)],
+            tries: VecDeque::new(),
+            usual: BTreeMap::new(),
             taken: Ring::new(window, PARTS),
             further: Ring::new(window, PARTS),
             ask_at: start.ask_within.map(|_| now),
             ask_rest: FIRST_REST,
-            tight: TIGHT * start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
-            least: f64::INFINITY,
+            soft_limit: start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
+            least: weights.fold(f64::INFINITY, f64::min),
             start,
-        };
-        brain.least = brain.least_weight();
-        brain
+        }
     }
 
     /// Where to send this command: asked when it is taken, and each time `wait` names it.
@@ -302,18 +312,21 @@
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         let (Stage::Out(node) | Stage::Over(node)) = h.stage else { return Next::Nothing };
         let ended = answer.over || matches!(h.stage, Stage::Over(_));
-        let size = 2.0 / (1.0 + h.cmd.units / self.start.mean_units);
+        let units = h.cmd.units;
         if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
-            due.units = (due.units - answer.others).max(-self.start.plans[h.cmd.plan].reserve);
+            due.units = (due.units - answer.others).max(0.0);
+        }
+        if let Some(again) = Brain::again(&h.cmd).filter(|_| outcome == Outcome::Settled) {
+            self.tries.retain(|t| t.1 != again);
         }
         if outcome.never_ran() && h.may_have_run.is_some_and(|(number, ..)| number == h.hand_offs) {
             h.may_have_run = None;
         }
-        let proof = h.cmd.units * if self.start.bands[h.cmd.band].writes { WRITE_PROOF } else { READ_PROOF };
-        self.judge(now, id, node, answer, size, proof);
+        self.judge(now, id, node, answer, units);
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-            if let Some((_, rest)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
+            let key = h.cmd.key.filter(|_| self.start.bands[h.cmd.band].in_order);
+            if let Some((_, rest)) = key.and_then(|key| self.keys.get_mut(&key)) {
                 *rest = now + self.start.order_rest + self.start.round;
             }
         }
@@ -398,39 +411,35 @@
             // A watch that broke unnoticed would leave the host with an old list.
             self.ask_at = self.start.ask_within.map(|within| now + 0.8 * within);
         }
-        if news != News::Changes {
-            for node in self.nodes.iter_mut().flatten() {
-                if !entries.iter().any(|e| e.node == node.entry.node) {
-                    node.entry.condition = Condition::Gone;
-                }
+        let gone = |n: &Node| news != News::Changes && !entries.iter().any(|e| e.node == n.entry.node);
+        for node in self.nodes.iter_mut().flatten().filter(|n| gone(n)) {
+            node.entry.condition = Condition::Gone;
+        }
+        let warm = self.start.cold_time;
+        for n in self.nodes.iter_mut().flatten().filter(|n| n.entry.condition == Condition::Ready) {
+            if n.entry.started.is_none_or(|at| now >= at + warm) {
+                self.usual.insert(n.entry.shard, n.served.sum(now, false) / SLOT / SLOTS as f64);
             }
         }
         for entry in entries {
             if self.nodes.len() <= entry.node {
                 self.nodes.resize_with(entry.node + 1, || None);
             }
-            match &mut self.nodes[entry.node] {
-                Some(node) => {
-                    if node.entry.started != entry.started {
-                        (node.window, node.rests_until) = (FLOOR, now);
-                        // What it settled as it was before proves nothing of a node that is cold again.
-                        node.proof = Ring::new(self.start.fall_time / PARTS as f64, PARTS);
-                    }
-                    node.entry = entry.clone();
-                }
-                empty => {
-                    let part = self.start.fall_time / PARTS as f64;
-                    *empty = Some(Node {
-                        entry: entry.clone(),
-                        window: FLOOR,
-                        bests: Ring::new(BEST_SLOT, BEST_SLOTS),
-                        cold: Ring::new(part, PARTS),
-                        proof: Ring::new(part, PARTS),
-                        rest: FIRST_REST,
-                        ..Node::default()
-                    });
-                }
+            let node = self.nodes[entry.node].get_or_insert_with(|| Node {
+                window: FLOOR,
+                bests: Ring::new(SLOT, SLOTS),
+                served: Ring::new(SLOT, SLOTS),
+                rest: FIRST_REST,
+                ..Node::default()
+            });
+            if node.entry.started != entry.started {
+                (node.window, node.rests_until) = (FLOOR, now);
+                // Spreads the hosts' first commands; a host that has just started may have spent its own.
+                let spread = self.chance.generate::<u32>() as f64 / u32::MAX as f64;
+                let old = f64::from(now - self.born >= self.start.fall_time);
+                (node.credit, node.credited) = (self.start.most_units * spread * old, now);
             }
+            node.entry = entry.clone();
         }
         // Commands lined at a node that drains or went wait for the node that takes its shard.
         let unusable = self.nodes.iter().flatten().filter(|n| n.entry.condition != Condition::Ready);
@@ -440,6 +449,7 @@
 
     /// The client has gone: nothing is owed any more.
     pub fn given_up(&mut self, now: Ms, id: usize) {
+        self.failed(now, id);
         let Some(Some(h)) = self.held.get_mut(id) else { return };
         match h.stage {
             Stage::Out(node) => {
@@ -455,30 +465,30 @@
     fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
         self.taken.add(now, 1.0);
         self.turns += 1;
-        // A client's later try comes with less time than a first one and counts against the first's soft
-        // limit; the longest time limit met tells by how much, whether or not clients mark their repeats.
-        // Guards against places taken by what is late already; not to be read into limits that just vary.
-        let (longest, usual, all) = &mut self.limits[cmd.band];
+        // A client's later try, or one that waited for a stalled host, comes with less than the usual time
+        // limit. Where clients of a plan are impatient that is no sign, but a key that failed here lately is:
+        // it counts against the first's soft limit, so that no volume gains by repeating.
+        let band = &self.start.bands[cmd.band];
+        let (longest, usual, all) = &mut self.limits[cmd.band * self.start.plans.len().max(1) + cmd.plan];
         if cmd.time_limit > *longest + 1.0 {
             (*longest, *usual, *all) = (cmd.time_limit, 0.0, 0.0);
         }
-        *all += 1.0;
-        *usual += f64::from(cmd.time_limit > *longest - 1.0);
+        *all = *all * RECENT + 1.0;
+        *usual = *usual * RECENT + f64::from(cmd.time_limit > *longest - 1.0);
         let spent = if *usual >= USUAL * *all { *longest - cmd.time_limit } else { 0.0 };
-        let band = &self.start.bands[cmd.band];
-        let late_at = now + band.soft_limit - spent;
+        let again = Some(cmd).filter(|c| c.time_limit < band.time_limit - 1.0).and_then(Brain::again);
+        let tried = again.and_then(|a| self.tries.iter().rev().find(|t| t.1 == a));
+        let first = tried.map_or(now, |t| t.2).min(now - spent);
         let ends = now + cmd.time_limit - 2.0 * self.start.round;
-        let mut cmd = cmd.clone();
-        if !band.in_order {
-            cmd.key = None;
-        }
-        if let Some(key) = cmd.key {
+        let late_at = ends.min(first + band.soft_limit);
+        if let Some(key) = self.in_order(cmd) {
             self.keys.entry(key).or_insert_with(|| (VecDeque::new(), now)).0.push_back(id);
         }
         self.outside.insert(self.turns, id);
         self.held[id] = Some(Held {
-            cmd,
+            cmd: cmd.clone(),
             turn: self.turns,
+            first,
             stage: Stage::Outside,
             tag: Tag::default(),
             late_at,
@@ -490,19 +500,30 @@
         });
     }
 
-    /// Whether a held command is to be given its final answer now: its time is up, or it can no longer be
-    /// answered within its soft limit and no place is free for it.
-    fn hopeless(&self, now: Ms, h: &Held) -> bool {
-        now >= h.ends || self.late(now, h)
+    fn again(cmd: &Command) -> Option<Again> {
+        Some((cmd.volume, cmd.key?, cmd.band, cmd.units.to_bits()))
     }
 
-    fn late(&self, now: Ms, h: &Held) -> bool {
-        let node = match h.stage {
-            Stage::Lined(node) => Some(node),
-            _ => h.cmd.shard.and_then(|shard| self.holder(shard)),
-        };
+    fn in_order(&self, cmd: &Command) -> Option<usize> {
+        cmd.key.filter(|_| self.start.bands[cmd.band].in_order)
+    }
+
+    /// Notes that the client of a command may try again.
+    fn failed(&mut self, now: Ms, id: usize) {
+        let Some(Some(h)) = self.held.get(id) else { return };
+        let longest = self.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
+        while self.tries.front().is_some_and(|t| now > t.0 + longest) {
+            self.tries.pop_front();
+        }
+        self.tries.extend(Brain::again(&h.cmd).map(|again| (now, again, h.first)));
+    }
+
+    /// Whether a held command is to be given its final answer now: it cannot be answered within its soft
+    /// limit any more.
+    fn hopeless(&self, now: Ms, h: &Held) -> bool {
+        let node = h.cmd.shard.and_then(|shard| self.holder(shard));
         let latency = node.and_then(|n| self.nodes[n].as_ref()).and_then(|n| n.latency).unwrap_or(0.0);
-        now + latency > h.late_at
+        now + latency >= h.late_at
     }
 
     /// The node to which commands of a shard go: of those that are ready, the one started last.
@@ -526,7 +547,7 @@
     fn draw_open(&mut self, now: Ms, node: usize) {
         let Some(n) = &self.nodes[node] else { return };
         let names_none = |id: &usize| self.held[*id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
-        if !n.has_place(now) || n.line.iter().any(names_none) {
+        if !n.has_place(now, false) || n.line.iter().any(names_none) {
             return;
         }
         let mut open = self.outside.values().copied();
@@ -540,7 +561,7 @@
     /// Whether a command's rest, its key and its earlier hand-offs let it into this node's line.
     fn free(&self, now: Ms, id: usize, node: usize) -> bool {
         let Some(h) = &self.held[id] else { return false };
-        let key = h.cmd.key.and_then(|key| self.keys.get(&key));
+        let key = self.in_order(&h.cmd).and_then(|key| self.keys.get(&key));
         let turn =
             key.is_none_or(|(line, rest)| line.front() == Some(&id) && (h.hand_offs > 0 || now >= *rest));
         turn && now >= h.not_before && self.repeats_fit(now, h, node)
@@ -591,29 +612,11 @@
         within
     }
 
-    /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
-    fn weight(&self, band: usize, plan: usize, reserved: bool) -> f64 {
-        let plans = &self.start.plans;
-        let rates: f64 = plans.iter().map(|p| p.rate).sum();
-        let weights: f64 = plans.iter().map(|p| p.weight).sum();
-        let p = &plans[plan];
-        let payoff = p.price * self.start.bands[band].payoff;
-        let share = self.start.share_payoff * p.weight * rates / weights.max(1e-9);
-        (payoff * if reserved && p.reserve > 0.0 { IN_RESERVE * p.reserve } else { share }).max(1e-6)
-    }
-
-    fn least_weight(&self) -> f64 {
-        let (bands, plans) = (0..self.start.bands.len(), 0..self.start.plans.len());
-        let pairs = bands.flat_map(|b| plans.clone().map(move |p| (b, p)));
-        let weights = pairs.flat_map(|(b, p)| [self.weight(b, p, false), self.weight(b, p, true)]);
-        weights.fold(f64::INFINITY, f64::min)
-    }
-
     fn join(&mut self, now: Ms, id: usize, node: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
         let (cmd, turn) = (h.cmd.clone(), h.turn);
         let reserved = self.within_reserve(now, &cmd);
-        let (weight, units) = (self.weight(cmd.band, cmd.plan, reserved), cmd.units);
+        let (weight, units) = (weight(&self.start, cmd.band, cmd.plan, reserved), cmd.units);
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
         let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
@@ -625,8 +628,13 @@
         let all: f64 = n.flows.values().map(|f| f.weight).sum();
         n.frame_units = self.start.most_units * all / self.least;
         let length = units * all / (n.frame_units * weight);
-        let mut tag = Tag { arrival: n.potential, length, reserved, ..Tag::default() };
-        n.stamp(cmd.volume, &mut tag);
+        let Some(flow) = n.flows.get_mut(&(cmd.volume, reserved)) else { return };
+        let start = flow.last_finish.max(p);
+        let tag = Tag { start, finish: start + length, reserved };
+        flow.last_finish = tag.finish;
+        if let Some(frame) = tag.marked() {
+            *n.counters.entry(frame).or_insert(0) += 1;
+        }
         n.line.push(id);
         self.outside.remove(&turn);
         if let Some(Some(h)) = self.held.get_mut(id) {
@@ -635,81 +643,69 @@
     }
 
     /// Takes an unsent command out of its line: its frame's counter falls as a send would lower it, and the
-    /// volume's later commands move up, as it is not charged for service that it did not get.
+    /// volume's next commands move up, as it is not charged for service that it did not get.
     fn unline(&mut self, id: usize) {
         let Some(Some(h)) = self.held.get_mut(id) else { return };
-        if let Stage::Lined(node) = h.stage {
-            h.stage = Stage::Outside;
-            let (volume, units, gone, drew) = (h.cmd.volume, h.cmd.units, h.tag, h.drew_limit);
-            self.outside.insert(h.turn, id);
-            if drew && h.hand_offs == 0 {
-                h.drew_limit = false;
-                if let Some(store) = self.stores.get_mut(&volume) {
-                    store.drawn -= units;
-                }
-            }
-            let Some(n) = &mut self.nodes[node] else { return };
-            n.line.retain(|&other| other != id);
-            n.unmark(&gone);
-            if let Some(due) = self.dues.get_mut(&volume).filter(|_| gone.reserved) {
-                due.units += units;
-            }
-            let Some(flow) = n.flows.get_mut(&(volume, gone.reserved)) else { return };
-            (flow.last_finish, flow.lined) = (gone.start, flow.lined - 1);
-            for other in n.line.clone() {
-                let Some(Some(later)) = self.held.get_mut(other) else { continue };
-                let same = (later.cmd.volume, later.tag.reserved) == (volume, gone.reserved);
-                if same && later.tag.start >= gone.start {
-                    n.unmark(&later.tag);
-                    n.stamp(volume, &mut later.tag);
-                }
-            }
-            n.reset_if_idle();
+        let Stage::Lined(node) = h.stage else { return };
+        h.stage = Stage::Outside;
+        self.outside.insert(h.turn, id);
+        if let Some(store) = self.stores.get_mut(&h.cmd.volume).filter(|_| h.drew_limit && h.hand_offs == 0) {
+            h.drew_limit = false;
+            store.drawn -= h.cmd.units;
         }
+        if let Some(due) = self.dues.get_mut(&h.cmd.volume).filter(|_| h.tag.reserved) {
+            due.units += h.cmd.units;
+        }
+        let Some(n) = &mut self.nodes[node] else { return };
+        n.line.retain(|&other| other != id);
+        n.unmark(&h.tag);
+        if let Some(flow) = n.flows.get_mut(&(h.cmd.volume, h.tag.reserved)) {
+            (flow.last_finish, flow.lined) =
+                (flow.last_finish - (h.tag.finish - h.tag.start), flow.lined - 1);
+        }
+        n.reset_if_idle();
     }
 
     /// The command that leaves next at a node, if its window has room: the smallest finish tag among those
-    /// that can still be answered within their soft limit, else among the others. Commands too large for
-    /// what is left of a cold node's part, or out of budget, let others pass.
+    /// not past their soft limit, but for those out of budget.
     fn next_of(&mut self, now: Ms, node: usize) -> Option<usize> {
-        if self.nodes[node].as_ref().is_none_or(|n| n.line.is_empty() || !n.has_place(now)) {
-            return None;
-        }
-        let (room, further) = (self.cold_room(now, node), self.budget_has_room(now));
-        let jammed = self.nodes[node].as_ref().is_some_and(|n| n.latency.unwrap_or(0.0) > self.tight);
+        let places =
+            |n: &Node| (!n.line.is_empty()).then(|| [n.has_place(now, false), n.has_place(now, true)]);
+        let places = self.nodes[node].as_ref().and_then(places).filter(|p| p[1])?;
+        let (bears, further) = (self.bears(now, node), self.budget_has_room(now));
         let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
             let h = self.held[id].as_ref()?;
-            let late = self.late(now, h);
-            let fits = h.cmd.units <= room && (further || h.hand_offs == 0);
-            let may = fits && now < h.ends && !(jammed && now >= h.late_at);
-            (may && self.repeats_fit(now, h, node)).then_some((late, h.tag.finish, h.turn, id))
+            let fits = bears && (further || h.hand_offs == 0);
+            let may = places[usize::from(h.tag.reserved)] && fits && now < h.late_at;
+            (may && self.repeats_fit(now, h, node)).then_some((h.tag.finish, h.turn, id))
         });
-        let first = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        first.map(|rank| rank.3)
+        let first = ranks.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        first.map(|rank| rank.2)
     }
 
-    /// What is left of this host's part of what a cold node bears. It grows with the least that the node's
-    /// ramp can have reached when the window began, and with what the node settled for this host within the
-    /// window, which proves as much capacity: all hosts' proofs together are one of the rule's multiples, so
-    /// the stated part keeps to the others. A host younger than the window counts its part as spent.
-    fn cold_room(&mut self, now: Ms, node: usize) -> f64 {
+    /// Whether a node may be sent a command as far as it is cold. The units come from a credit, which grows as
+    /// the rule's bound does at the slowest ramp: by this host's part of what the shard's node settled while
+    /// it was warm (all hosts' parts are no more than a node can do) or of the stated units, if that is more.
+    /// Guards against hosts that together push a node over, however many they are and whenever they were
+    /// told; it could harm where a shard's traffic moves to hosts that sent it little before.
+    fn bears(&mut self, now: Ms, node: usize) -> bool {
         let s = &self.start;
-        let Some(n) = &mut self.nodes[node] else { return 0.0 };
-        let Some(started) = n.entry.started else { return f64::INFINITY };
-        let age = now - started;
+        let Some(n) = &mut self.nodes[node] else { return false };
+        let age = n.entry.started.map_or(f64::INFINITY, |at| now - at);
         if age >= s.cold_time + s.fall_time {
-            return f64::INFINITY;
+            return true;
         }
         let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
-        let part = s.cold_units / s.hosts * ramp / s.cold_share;
-        let before = if now - self.born < s.fall_time { part } else { 0.0 };
-        let proven = part * (1.0 - 1.0 / s.fall_multiple.max(1.0)) + n.proof.at_most(now);
-        proven - n.cold.at_least(now) - before
+        let stated = s.cold_units / s.hosts / s.cold_share / s.fall_time;
+        let usual = self.usual.get(&n.entry.shard).map_or(0.0, |u| u * s.fall_multiple);
+        let grown = ramp * usual.max(stated) * (now - n.credited);
+        (n.credit, n.credited) = ((n.credit + grown).min(2.0 * s.most_units), now);
+        n.credit >= s.most_units
     }
 
     fn budget_has_room(&mut self, now: Ms) -> bool {
         let Some(b) = &self.start.budget else { return true };
-        self.further.at_least(now) + 1.0 <= b.free + b.share * self.taken.at_most(now)
+        self.further.sum(now, true) + 1.0 <= b.free + b.share * self.taken.sum(now, false)
     }
 
     fn send(&mut self, now: Ms, id: usize, node: usize) -> Where {
@@ -720,6 +716,7 @@
         if let Some(flow) = n.flows.get_mut(&(h.cmd.volume, h.tag.reserved)) {
             (flow.lined, flow.seen) = (flow.lined - 1, now);
         }
+        n.sent = now;
         n.potential += h.cmd.units / n.frame_units;
         n.unmark(&h.tag);
         let reached = h.tag.finish.floor() as i64;
@@ -729,9 +726,9 @@
             n.counters = n.counters.split_off(&reached);
         }
         let hand_off = h.hand_offs;
-        let patience = PATIENCE * self.start.bands[h.cmd.band].soft_limit;
+        let patience = self.start.bands[h.cmd.band].soft_limit;
         n.out.push(Out { id, hand_off, at: now, patience, passed: 0, cancelled: false });
-        n.cold.add(now, h.cmd.units);
+        n.credit -= h.cmd.units;
         if h.hand_offs > 0 {
             self.further.add(now, 1.0);
         } else if let Some(store) = self.stores.get_mut(&h.cmd.volume).filter(|_| h.drew_limit) {
@@ -746,7 +743,7 @@
     }
 
     /// Moves what is known of a node by an outcome: its window, its latency, its rests.
-    fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, size: f64, proof: f64) {
+    fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, units: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
         let crowded = n.out.len() as f64 >= n.window - 1.0;
         let silent = n.silent(now);
@@ -754,16 +751,19 @@
         n.out.remove(place);
         match answer.outcome {
             Outcome::Settled => {
-                n.proof.add(now, proof);
-                let sized = answer.latency * size;
+                n.served.add(now, units);
+                let sized = answer.latency * 2.0 / (1.0 + units / self.start.mean_units);
                 n.bests.add(now, sized);
                 let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
                 n.latency = Some(recent);
                 let best = n.bests.lowest_mean(now).unwrap_or(recent);
-                if recent > self.tight {
-                    n.window = (n.window * (1.0 - NARROWING)).max(JAM_FLOOR);
+                if recent > TIGHT * self.soft_limit {
+                    let floor = if recent > JAMMED * self.soft_limit { JAM_FLOOR } else { n.window.min(1.0) };
+                    n.window = (n.window * (1.0 - NARROWING)).max(floor);
                 } else if recent > FAR_FROM_BEST * best && n.window > FLOOR {
                     n.window = (n.window * (1.0 - NARROWING)).max(FLOOR);
+                } else if n.window < 1.0 {
+                    n.window = (n.window + JAM_STEP).min(1.0);
                 } else if crowded && (recent < NEAR_BEST * best || n.window < FLOOR) {
                     n.window = (n.window + 1.0 / n.window).min(CEILING);
                 }
@@ -784,6 +784,7 @@
     /// The final answer of a command that this host gives up: a bounce where that is known to be harmless.
     fn end(&mut self, now: Ms, id: usize) -> Ending {
         self.unline(id);
+        self.failed(now, id);
         let Some(Some(h)) = self.held.get(id) else { return Ending::Scrapped };
         let band = &self.start.bands[h.cmd.band];
         let harmless = match (band.repeats, band.group) {
@@ -802,7 +803,7 @@
     fn forget(&mut self, now: Ms, id: usize) {
         let Some(h) = self.held[id].take() else { return };
         self.outside.remove(&h.turn);
-        if let Some((line, _)) = h.cmd.key.and_then(|key| self.keys.get_mut(&key)) {
+        if let Some((line, _)) = self.in_order(&h.cmd).and_then(|key| self.keys.get_mut(&key)) {
             line.retain(|&other| other != id);
         }
         self.keys.retain(|_, (line, rest)| !line.is_empty() || now < *rest);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -27,14 +27,14 @@
 #[derive(Clone, Debug)]
 pub struct Band {
     pub soft_limit: Ms,
+    /// How long a client waits over all its tries.
+    pub time_limit: Ms,
     pub payoff: f64,
     pub repeats: Repeats,
     pub group: Group,
     /// How long the group remembers a fingerprint, from the first send that may have run.
     pub memory: Ms,
     pub in_order: bool,
-    /// Its commands change data; part of such work may be put off past the answer.
-    pub writes: bool,
 }
 
 /// What the module reads of a plan; every figure counts for one volume over all hosts and nodes.
@@ -74,7 +74,7 @@
     pub ask_within: Option<Ms>,
     pub cold_share: f64,
     pub cold_time: Ms,
-    /// The units that a cold node bears from all hosts together within `fall_time`.
+    /// The units that a cold node bears from all hosts together within `fall_time` as it starts.
     pub cold_units: f64,
     pub fall_time: Ms,
     /// A cold node falls when sent more than this multiple of what it can do for `fall_time`.
