--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,10 +11,9 @@
 const FLOOR: f64 = 4.0;
 const CEILING: f64 = 32.0;
 /// Departures while a node answers slower than these parts of the shortest soft limit: the window falls to
-/// one, and under one to the floor of a jam. Under one it widens by this with an answer.
+/// one, and on until all hosts' windows together are at the floor. Under one it widens by this and doubles.
 const TIGHT: f64 = 0.15;
 const JAMMED: f64 = 0.6;
-const JAM_FLOOR: f64 = 0.01;
 const JAM_STEP: f64 = 0.05;
 /// How much more than its payoff a volume's reserve counts.
 const IN_RESERVE: f64 = 4.0;
@@ -190,8 +189,8 @@
         open && rested && (self.out.len() as f64) < self.window.max(1.0) && !self.silent(now)
     }
 
-    fn set_back(&mut self, now: Ms, part: f64) {
-        self.window = (self.window * part).max(JAM_FLOOR);
+    fn set_back(&mut self, now: Ms, least: f64, part: f64) {
+        self.window = (self.window * part).max(least);
         if now >= self.rests_until {
             self.rests_until = now + self.rest;
             self.rest = (self.rest * 2.0).min(LAST_REST);
@@ -256,6 +255,7 @@
     further: Ring,
     ask_at: Option<Ms>,
     ask_rest: Ms,
+    jam_floor: f64,
     /// The shortest of all bands.
     soft_limit: Ms,
     /// The smallest weight that any volume can have.
@@ -284,6 +284,7 @@
             further: Ring::new(window, PARTS),
             ask_at: start.ask_within.map(|_| now),
             ask_rest: FIRST_REST,
+            jam_floor: (FLOOR / start.hosts).min(1.0),
             soft_limit: start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
             least: weights.fold(f64::INFINITY, f64::min),
             start,
@@ -683,9 +684,9 @@
         first.map(|rank| rank.2)
     }
 
-    /// Whether a node may be sent a command as far as it is cold. The units come from a credit, which grows as
-    /// the rule's bound does at the slowest ramp: by this host's part of what the shard's node settled while
-    /// it was warm (all hosts' parts are no more than a node can do) or of the stated units, if that is more.
+    /// Whether a node may be sent a command, cold as it is. The units come from a credit, which grows as the
+    /// rule's bound does at the slowest ramp: by this host's part of what the shard's node settled while it
+    /// was warm (all hosts' parts are no more than a node can do) or of the stated units, if that is more.
     /// Guards against hosts that together push a node over, however many they are and whenever they were
     /// told; it could harm where a shard's traffic moves to hosts that sent it little before.
     fn bears(&mut self, now: Ms, node: usize) -> bool {
@@ -758,21 +759,22 @@
                 n.latency = Some(recent);
                 let best = n.bests.lowest_mean(now).unwrap_or(recent);
                 if recent > TIGHT * self.soft_limit {
-                    let floor = if recent > JAMMED * self.soft_limit { JAM_FLOOR } else { n.window.min(1.0) };
+                    let floor =
+                        if recent > JAMMED * self.soft_limit { self.jam_floor } else { n.window.min(1.0) };
                     n.window = (n.window * (1.0 - NARROWING)).max(floor);
                 } else if recent > FAR_FROM_BEST * best && n.window > FLOOR {
                     n.window = (n.window * (1.0 - NARROWING)).max(FLOOR);
                 } else if n.window < 1.0 {
-                    n.window = (n.window + JAM_STEP).min(1.0);
+                    n.window = (2.0 * n.window + JAM_STEP).min(1.0);
                 } else if crowded && (recent < NEAR_BEST * best || n.window < FLOOR) {
                     n.window = (n.window + 1.0 / n.window).min(CEILING);
                 }
                 n.rest = FIRST_REST;
                 n.out[..place].iter_mut().for_each(|o| o.passed += 1);
             }
-            Outcome::Full | Outcome::NoConnection | Outcome::Reset => n.set_back(now, 0.5),
+            Outcome::Full | Outcome::NoConnection | Outcome::Reset => n.set_back(now, self.jam_floor, 0.5),
             // A node that answered nothing until then is tried again with one command at a time.
-            Outcome::TimedOut | Outcome::Cancelled if silent => n.set_back(now, 0.0),
+            Outcome::TimedOut | Outcome::Cancelled if silent => n.set_back(now, self.jam_floor, 0.0),
             _ => {}
         }
         if !matches!(answer.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
