--- a/src/brain.rs
+++ b/src/brain.rs
@@ -154,6 +154,8 @@
     frame_units: f64,
     out: Vec<Out>,
     window: f64,
+    /// The shortest of all bands.
+    soft_limit: Ms,
     latency: Option<f64>,
     bests: Ring,
     /// What it settled for this host lately, and the units that it may be sent while it is cold.
@@ -184,8 +186,9 @@
     /// Whether there is a place for a command, by whether its volume's reserve covers it.
     fn has_place(&self, now: Ms, reserved: bool) -> bool {
         let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
-        let rest = self.latency.unwrap_or(0.0) / self.window;
-        let rested = reserved || self.window >= 1.0 || now >= self.sent + rest;
+        let latency = self.latency.unwrap_or(0.0);
+        let spared = self.window >= 1.0 || reserved && latency <= self.soft_limit;
+        let rested = spared || now >= self.sent + latency / self.window;
         open && rested && (self.out.len() as f64) < self.window.max(1.0) && !self.silent(now)
     }
 
@@ -317,9 +320,8 @@
         if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
             due.units = (due.units - answer.others).max(0.0);
         }
-        if let Some(again) = Brain::again(&h.cmd).filter(|_| outcome == Outcome::Settled) {
-            self.tries.retain(|t| t.1 != again);
-        }
+        let again = Brain::again(&h.cmd).filter(|_| outcome == Outcome::Settled);
+        self.tries.retain(|t| Some(t.1) != again);
         if outcome.never_ran() && h.may_have_run.is_some_and(|(number, ..)| number == h.hand_offs) {
             h.may_have_run = None;
         }
@@ -428,6 +430,7 @@
             }
             let node = self.nodes[entry.node].get_or_insert_with(|| Node {
                 window: FLOOR,
+                soft_limit: self.soft_limit,
                 bests: Ring::new(SLOT, SLOTS),
                 served: Ring::new(SLOT, SLOTS),
                 rest: FIRST_REST,
@@ -595,9 +598,7 @@
             self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born, drawn: 0.0 });
         store.fill(now, plan.limit_rate / h.cmd.hosts, plan.limit_store / h.cmd.hosts);
         h.drew_limit = store.units - store.drawn >= h.cmd.units;
-        if h.drew_limit {
-            store.drawn += h.cmd.units;
-        }
+        store.drawn += f64::from(h.drew_limit) * h.cmd.units;
         h.drew_limit
     }
 
