--- a/src/brain.rs
+++ b/src/brain.rs
@@ -95,7 +95,6 @@
     Over(usize),
 }
 
-/// The tags of a lined command.
 #[derive(Clone, Copy, Default)]
 struct Tag {
     start: f64,
@@ -154,7 +153,6 @@
     frame_units: f64,
     out: Vec<Out>,
     window: f64,
-    /// The shortest of all bands.
     soft_limit: Ms,
     latency: Option<f64>,
     bests: Ring,
@@ -183,11 +181,11 @@
         }
     }
 
-    /// Whether there is a place for a command, by whether its volume's reserve covers it.
-    fn has_place(&self, now: Ms, reserved: bool) -> bool {
+    /// A place for a command that is spared rests, as its volume's reserve covers it, or for another.
+    fn has_place(&self, now: Ms, spared: bool) -> bool {
         let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
         let latency = self.latency.unwrap_or(0.0);
-        let spared = self.window >= 1.0 || reserved && latency <= self.soft_limit;
+        let spared = self.window >= 1.0 || spared && latency <= self.soft_limit;
         let rested = spared || now >= self.sent + latency / self.window;
         open && rested && (self.out.len() as f64) < self.window.max(1.0) && !self.silent(now)
     }
@@ -236,7 +234,6 @@
     (p.price * s.bands[band].payoff * part).max(1e-6)
 }
 
-/// One host's module.
 pub struct Brain {
     start: Start,
     chance: WyRand,
@@ -512,7 +509,6 @@
         cmd.key.filter(|_| self.start.bands[cmd.band].in_order)
     }
 
-    /// Notes that the client of a command may try again.
     fn failed(&mut self, now: Ms, id: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
         let longest = self.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
@@ -562,7 +558,6 @@
         }
     }
 
-    /// Whether a command's rest, its key and its earlier hand-offs let it into this node's line.
     fn free(&self, now: Ms, id: usize, node: usize) -> bool {
         let Some(h) = &self.held[id] else { return false };
         let key = self.in_order(&h.cmd).and_then(|key| self.keys.get(&key));
@@ -571,7 +566,6 @@
         turn && now >= h.not_before && self.repeats_fit(now, h, node)
     }
 
-    /// Whether a command may be handed to this node as far as its earlier hand-offs go.
     fn repeats_fit(&self, now: Ms, h: &Held, node: usize) -> bool {
         let Some((_, at, earlier)) = h.may_have_run else { return true };
         let band = &self.start.bands[h.cmd.band];
@@ -675,10 +669,13 @@
             |n: &Node| (!n.line.is_empty()).then(|| [n.has_place(now, false), n.has_place(now, true)]);
         let places = self.nodes[node].as_ref().and_then(places).filter(|p| p[1])?;
         let (bears, further) = (self.bears(now, node), self.budget_has_room(now));
+        let most = self.start.bands.iter().map(|b| b.payoff).fold(0.0, f64::max);
         let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
             let h = self.held[id].as_ref()?;
             let fits = bears && (further || h.hand_offs == 0);
-            let may = places[usize::from(h.tag.reserved)] && fits && now < h.late_at;
+            // Guards against long commands that may wait long and pay little for the places they hold.
+            let spared = h.tag.reserved && 2.0 * self.start.bands[h.cmd.band].payoff >= most;
+            let may = places[usize::from(spared)] && fits && now < h.late_at;
             (may && self.repeats_fit(now, h, node)).then_some((h.tag.finish, h.turn, id))
         });
         let first = ranks.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -699,7 +696,9 @@
         }
         let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
         let stated = s.cold_units / s.hosts / s.cold_share / s.fall_time;
-        let usual = self.usual.get(&n.entry.shard).map_or(0.0, |u| u * s.fall_multiple);
+        // A host that has just started knows the shards of warm nodes; their mean stands in for the others.
+        let mean = self.usual.values().sum::<f64>() / self.usual.len().max(1) as f64;
+        let usual = s.fall_multiple * self.usual.get(&n.entry.shard).unwrap_or(&mean);
         let grown = ramp * usual.max(stated) * (now - n.credited);
         (n.credit, n.credited) = ((n.credit + grown).min(2.0 * s.most_units), now);
         n.credit >= s.most_units
@@ -744,7 +743,6 @@
         Where::To { node, time_out: h.ends - now }
     }
 
-    /// Moves what is known of a node by an outcome: its window, its latency, its rests.
     fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, units: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
         let crowded = n.out.len() as f64 >= n.window - 1.0;
