Keep commands at a shard's warm node until it goes or fails, not at its cold successor

A release lists successors as ready a second or two before the old nodes drain; commands went to the cold one at once. Now the node started first takes them, unless it fails. It could harm where a node is dead and still listed as ready: failing ones are passed over.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -526,12 +526,13 @@
         now + latency >= h.late_at
     }
 
-    /// The node to which commands of a shard go: of those that are ready, the one started last.
+    /// The node to which commands of a shard go: of those that are ready one that does not fail, and of these
+    /// the one started first, as its successor is still cold.
     fn holder(&self, shard: usize) -> Option<usize> {
         let ready = |n: &&Node| n.entry.shard == shard && n.entry.condition == Condition::Ready;
-        let started = |n: &&Node| n.entry.started.unwrap_or(f64::NEG_INFINITY);
         let holders = self.nodes.iter().flatten().filter(ready);
-        holders.max_by(|a, b| started(a).total_cmp(&started(b))).map(|n| n.entry.node)
+        let first = holders.min_by_key(|n| (n.rest > FIRST_REST, n.entry.started.map(|at| at as i64)));
+        first.map(|n| n.entry.node)
     }
 
     /// Puts a command that waits outside into its node's line, once its key and its limit let it.
