Forget nodes that went and keys long gone

Memory of the module and its adapter grew with every node and key ever met. A node that is gone with nothing out is dropped with the next list; keys not met among the latest hundred thousand lose their index, more than a host can have in hand.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -16,6 +16,31 @@
     }
 }
 
+/// How many keys are kept at least; more than a host can have in hand at once.
+const KEYS: usize = 100_000;
+
+/// Indices of keys, of which there is no end: those not met among the latest are forgotten.
+#[derive(Default)]
+struct Keys {
+    latest: HashMap<u64, usize>,
+    before: HashMap<u64, usize>,
+    next: usize,
+}
+
+impl Keys {
+    fn of(&mut self, key: u64) -> usize {
+        if self.latest.len() >= KEYS {
+            self.before = std::mem::take(&mut self.latest);
+        }
+        let met = self.latest.get(&key).or_else(|| self.before.get(&key)).copied();
+        let index = met.unwrap_or_else(|| {
+            self.next += 1;
+            self.next
+        });
+        *self.latest.entry(key).or_insert(index)
+    }
+}
+
 struct InHand {
     id: u64,
     command: Command,
@@ -30,7 +55,7 @@
     nodes: Indices<u32>,
     node_ids: Vec<u32>,
     volumes: Indices<u64>,
-    keys: Indices<u64>,
+    keys: Keys,
     by_id: HashMap<u64, usize>,
     in_hand: Vec<Option<InHand>>,
     free: Vec<usize>,
@@ -62,7 +87,7 @@
             nodes: Indices(HashMap::new()),
             node_ids: Vec::new(),
             volumes: Indices(HashMap::new()),
-            keys: Indices(HashMap::new()),
+            keys: Keys::default(),
             by_id: HashMap::new(),
             in_hand: Vec::new(),
             free: Vec::new(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -112,7 +112,6 @@
 struct Held {
     cmd: Command,
     turn: u64,
-    /// When the client first tried.
     first: Ms,
     stage: Stage,
     tag: Tag,
@@ -446,6 +445,8 @@
         let unusable = self.nodes.iter().flatten().filter(|n| n.entry.condition != Condition::Ready);
         let moved: Vec<usize> = unusable.flat_map(|n| n.line.clone()).collect();
         moved.into_iter().for_each(|id| self.unline(id));
+        let over = |n: &mut Node| n.entry.condition == Condition::Gone && n.out.is_empty();
+        self.nodes.iter_mut().for_each(|n| _ = n.take_if(over));
     }
 
     /// The client has gone: nothing is owed any more.
