Split the desk out of the bench's adapter; add the node protocol's codec

Need: the bench's adapter and the host that is to serve must run the same code between ids, commands in hand and the module, or the bench would measure something else than what serves.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -4,8 +4,9 @@
 mod host;
 mod wire;
 
-use host::{ms, Host, Taken};
+use host::{ms, Host};
 use magpiewick::{Answer, Command, Condition, Entry, News, Outcome};
+use magpiewick_desk::Taken;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use wire::{Fault, Fields, Reply};
@@ -126,7 +127,7 @@
                 let used = (used > 0).then(|| (f64::from(used) - 1.0) / 100.0);
                 let others = f64::from(f.u16("a count of others")?);
                 report(f)?;
-                i.host.verdict(now, id, Answer { outcome, latency: ms(took), over, used, others }, reply);
+                i.host.outcome(now, id, Answer { outcome, latency: ms(took), over, used, others }, reply);
             }
             5 => {
                 f.u16("a sender")?;
--- /dev/null
+++ b/crates/desk/src/lib.rs
@@ -0,0 +1,202 @@
+//! The desk of one host: the commands in hand, the ids of a wire and the calls on the decision module.
+//!
+//! The desk is free of I/O and decides nothing. A driver calls it when something happened, with the time in
+//! milliseconds on a clock that never runs back; the desk asks the module and calls the driver's [`World`]
+//! for what is to be done. The bench's adapter and the gateway are two such drivers, so that the bench
+//! measures the very code that serves.
+//!
+//! Ids of commands, nodes, volumes and keys are the driver's own; a command's id must never be used again.
+
+mod indices;
+
+use indices::{Indices, Keys};
+use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Where};
+use std::collections::HashMap;
+
+/// What a driver does for the desk. None of these may call the desk back: what comes of them is told to the
+/// desk afterwards.
+pub trait World {
+    /// Hands a command to a node; `hand_off` counts from 0. Its outcome is owed to the desk within `time_out`.
+    fn send(&mut self, command: u64, hand_off: u32, node: u32, time_out: Ms);
+    /// Stops the wait for a hand-off. Its outcome is still owed: what is on the way, or `Cancelled`.
+    fn cancel(&mut self, command: u64, hand_off: u32);
+    /// The one final answer that the host gives itself; a settled answer is the driver's to pass on.
+    fn answer(&mut self, command: u64, ending: Ending, reason: Reason);
+    fn probe(&mut self, node: u32);
+    /// Asks for the list of nodes and its changes from now on.
+    fn watch(&mut self);
+    /// Calls [`Desk::run`] at this time at the latest. A later call takes the place of an earlier one.
+    fn wake(&mut self, at: Ms);
+}
+
+/// Why a host ended a command itself: what its last hand-off met, or that no place came free in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    Waited,
+    After(Outcome),
+}
+
+impl Reason {
+    /// The word that stands for it in logs, on the wire and in the operators' page.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::Waited => "waited",
+            Reason::After(Outcome::Settled) => "settled",
+            Reason::After(Outcome::Error) => "error",
+            Reason::After(Outcome::Full) => "full",
+            Reason::After(Outcome::TimedOut) => "timed-out",
+            Reason::After(Outcome::NoConnection) => "no-connection",
+            Reason::After(Outcome::Reset) => "reset",
+            Reason::After(Outcome::Cancelled) => "cancelled",
+            Reason::After(Outcome::Moot) => "moot",
+        }
+    }
+}
+
+/// A command as it stands on a wire, before its ids are mapped; `key` is 0 where it has none.
+pub struct Taken {
+    pub id: u64,
+    pub key: u64,
+    pub volume: u64,
+    /// Its volume and key are set by the desk.
+    pub command: Command,
+}
+
+struct InHand {
+    id: u64,
+    command: Command,
+    sent: u32,
+    out: u32,
+    over: bool,
+    last: Option<Outcome>,
+}
+
+pub struct Desk {
+    brain: Brain,
+    nodes: Indices<u32>,
+    node_ids: Vec<u32>,
+    volumes: Indices<u64>,
+    keys: Keys,
+    by_id: HashMap<u64, usize>,
+    in_hand: Vec<Option<InHand>>,
+    free: Vec<usize>,
+}
+
+impl Desk {
+    pub fn new(start: Start, now: Ms) -> Desk {
+        Desk {
+            brain: Brain::new(start, now),
+            nodes: Indices::default(),
+            node_ids: Vec::new(),
+            volumes: Indices::default(),
+            keys: Keys::default(),
+            by_id: HashMap::new(),
+            in_hand: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+
+    /// Commands without their final answer, and those that are over while a hand-off is still out.
+    pub fn in_hand(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// News of the list; `entries` name nodes by the wire's ids, which are mapped here.
+    pub fn listed(&mut self, now: Ms, news: News, entries: &[(u32, Entry)]) {
+        let mut mapped = Vec::with_capacity(entries.len());
+        for (id, entry) in entries {
+            let node = self.nodes.of(*id);
+            if node == self.node_ids.len() {
+                self.node_ids.push(*id);
+            }
+            mapped.push(Entry { node, ..entry.clone() });
+        }
+        self.brain.listed(now, news, &mapped);
+    }
+
+    pub fn take(&mut self, now: Ms, taken: Taken, world: &mut impl World) {
+        let mut command = taken.command;
+        command.volume = self.volumes.of(taken.volume);
+        command.key = (taken.key != 0).then(|| self.keys.of(taken.key));
+        let slot = self.free.pop().unwrap_or(self.in_hand.len());
+        if slot == self.in_hand.len() {
+            self.in_hand.push(None);
+        }
+        let taken_before = self.by_id.insert(taken.id, slot);
+        assert!(taken_before.is_none(), "command {} was taken twice", taken.id);
+        self.in_hand[slot] = Some(InHand { id: taken.id, command, sent: 0, out: 0, over: false, last: None });
+        self.ask(now, slot, world);
+    }
+
+    fn ask(&mut self, now: Ms, slot: usize, world: &mut impl World) {
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        match self.brain.place(now, slot, &c.command) {
+            Where::To { node, time_out } => {
+                assert!(!c.over, "a hand-off of command {}, which is over", c.id);
+                (c.sent, c.out) = (c.sent + 1, c.out + 1);
+                world.send(c.id, c.sent - 1, self.node_ids[node], time_out);
+            }
+            Where::NotYet => {}
+            Where::Never(ending) => self.end(slot, ending, world),
+        }
+    }
+
+    fn end(&mut self, slot: usize, ending: Ending, world: &mut impl World) {
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        assert!(!c.over, "a second final answer for command {}", c.id);
+        c.over = true;
+        world.answer(c.id, ending, c.last.map_or(Reason::Waited, Reason::After));
+        self.release(slot);
+    }
+
+    fn release(&mut self, slot: usize) {
+        if let Some(c) = self.in_hand[slot].take_if(|c| c.over && c.out == 0) {
+            self.by_id.remove(&c.id);
+            self.free.push(slot);
+        }
+    }
+
+    /// The outcome of a hand-off; `answer.over` says that the command is over with it. Exactly one is owed
+    /// for each [`World::send`].
+    pub fn outcome(&mut self, now: Ms, id: u64, mut answer: Answer, world: &mut impl World) {
+        let Some(&slot) = self.by_id.get(&id) else { return };
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        assert!(c.out > 0, "an outcome for command {id}, which has no hand-off out");
+        c.out -= 1;
+        c.over |= answer.over;
+        c.last = Some(answer.outcome);
+        answer.over = c.over;
+        match self.brain.after(now, slot, &answer) {
+            Next::End(ending) => self.end(slot, ending, world),
+            Next::Nothing | Next::Hold => self.release(slot),
+        }
+    }
+
+    /// The client has gone or gave up: nothing is owed any more, but hand-offs that are out go on.
+    pub fn abandoned(&mut self, now: Ms, id: u64) {
+        let Some(&slot) = self.by_id.get(&id) else { return };
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        if !c.over {
+            c.over = true;
+            self.brain.given_up(now, slot);
+            self.release(slot);
+        }
+    }
+
+    /// Does all that is due and says when to come again.
+    pub fn run(&mut self, now: Ms, world: &mut impl World) {
+        loop {
+            match self.brain.wait(now) {
+                Due::Ask(slot) => self.ask(now, slot, world),
+                Due::Cancel { command, hand_off } => {
+                    if let Some(c) = self.in_hand[command].as_ref().filter(|c| hand_off < c.sent) {
+                        world.cancel(c.id, hand_off);
+                    }
+                }
+                Due::Probe(node) => world.probe(self.node_ids[node]),
+                Due::Watch => world.watch(),
+                Due::Until(until) => return world.wake(until),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nodewire/src/message.rs
@@ -0,0 +1,372 @@
+//! The messages and their fields. Times travel as lengths in microseconds, never as points on a clock, as no
+//! two machines share one.
+
+use crate::fields::Fields;
+use crate::{Fault, MOST_LINES, MOST_PAYLOAD};
+
+/// The version of the protocol that this package speaks.
+pub const VERSION: u16 = 1;
+/// Bytes of a line of a list.
+pub const LINE: usize = 38;
+/// The age of a process that started long ago.
+pub const LONG_AGO: u64 = u64::MAX;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Client,
+    Host,
+    Node,
+    List,
+}
+
+/// The first message either way on every connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// The lowest and highest version spoken; the highest that both speak holds.
+    pub lowest: u16,
+    pub highest: u16,
+    pub role: Role,
+    /// Number of the node or host; what a client likes.
+    pub number: u32,
+    /// Drawn anew at every start of the process.
+    pub life: u64,
+    /// How long ago the process started; [`LONG_AGO`] where it no longer matters.
+    pub age_us: u64,
+}
+
+/// A command on its way from a host to a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HandOff<'a> {
+    pub command: u64,
+    /// Counts a command's hand-offs from 0.
+    pub hand_off: u16,
+    pub band: u16,
+    pub write: bool,
+    pub volume: u64,
+    /// The piece of data; 0 for none.
+    pub key: u64,
+    /// The client's mark by which a repeat is known; 0 for none.
+    pub mark: u64,
+    pub units: f32,
+    pub shard: u32,
+    /// How long the client still waits: a node does not begin the command after it.
+    pub left_us: u32,
+    pub payload: &'a [u8],
+}
+
+/// How a hand-off ended, as it stands on the wire: the module's outcomes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Code {
+    Settled,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+/// A node's answer to one hand-off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outcome<'a> {
+    pub command: u64,
+    pub hand_off: u16,
+    pub code: Code,
+    /// The volume's service everywhere in a finished period, as a part of its plan's rate; none where unknown.
+    pub used: Option<f32>,
+    /// Units that the node served the volume through other hosts since its last answer to this one.
+    pub others: f32,
+    /// Commands that wait at the node, and the part of its cores that is busy.
+    pub queue: u32,
+    pub busy: f32,
+    pub payload: &'a [u8],
+}
+
+/// A command as a client asks it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Take<'a> {
+    /// The client's own number for it, not used again on this connection.
+    pub command: u64,
+    pub band: u16,
+    pub write: bool,
+    pub volume: u64,
+    pub key: u64,
+    pub mark: u64,
+    pub units: f32,
+    /// How long the client waits.
+    pub limit_us: u32,
+    pub payload: &'a [u8],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Settled,
+    /// Trying again is harmless.
+    Bounced,
+    /// Nothing is promised.
+    Scrapped,
+}
+
+/// The one final answer to a command.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Final<'a> {
+    pub command: u64,
+    pub verdict: Verdict,
+    /// When a bounced client best comes back; 0 for no advice.
+    pub back_us: u32,
+    /// What a read brought; else the word for the reason.
+    pub payload: &'a [u8],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A line of the list of nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Line {
+    pub node: u32,
+    pub shard: u32,
+    pub zone: u16,
+    pub state: State,
+    pub life: u64,
+    pub age_us: u64,
+    /// IPv4 address and port at which the node listens.
+    pub address: [u8; 4],
+    pub port: u16,
+}
+
+/// News of the list: all of it, or what changed since the epoch before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct List {
+    pub whole: bool,
+    pub epoch: u64,
+    pub lines: Vec<Line>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message<'a> {
+    Hello(Hello),
+    HandOff(HandOff<'a>),
+    Outcome(Outcome<'a>),
+    Cancel {
+        command: u64,
+        hand_off: u16,
+    },
+    Probe {
+        number: u32,
+    },
+    Probed {
+        number: u32,
+        queue: u32,
+        busy: f32,
+    },
+    Take(Take<'a>),
+    Final(Final<'a>),
+    GiveUp {
+        command: u64,
+    },
+    /// Asks for the list from this epoch on (0: all of it) and for its changes; answered by a list or `Refused`.
+    Watch {
+        epoch: u64,
+    },
+    List(List),
+    Refused,
+}
+
+/// A table of a field's values: the place in it is the number on the wire.
+fn pick<T: Copy>(table: &[T], number: u8, field: &'static str) -> Result<T, Fault> {
+    table.get(usize::from(number)).copied().ok_or(Fault::Impossible(field))
+}
+
+fn place<T: PartialEq>(table: &[T], value: &T) -> u8 {
+    table.iter().position(|v| v == value).unwrap_or(0) as u8
+}
+
+const ROLES: [Role; 4] = [Role::Client, Role::Host, Role::Node, Role::List];
+const STATES: [State; 3] = [State::Ready, State::Draining, State::Gone];
+const VERDICTS: [Verdict; 3] = [Verdict::Settled, Verdict::Bounced, Verdict::Scrapped];
+const CODES: [Code; 8] = [
+    Code::Settled,
+    Code::Error,
+    Code::Full,
+    Code::TimedOut,
+    Code::NoConnection,
+    Code::Reset,
+    Code::Cancelled,
+    Code::Moot,
+];
+/// Stands for an unknown use.
+const NO_USE: f32 = f32::MAX;
+
+fn payload_within(payload: &[u8]) -> Result<&[u8], Fault> {
+    (payload.len() <= MOST_PAYLOAD).then_some(payload).ok_or(Fault::Impossible("payload"))
+}
+
+impl<'a> Message<'a> {
+    /// None for a kind that is not known.
+    pub(crate) fn decode(kind: u8, f: &mut Fields, payload: &'a [u8]) -> Result<Option<Message<'a>>, Fault> {
+        Ok(Some(match kind {
+            1 => Message::Hello(Hello {
+                lowest: f.u16("lowest version")?,
+                highest: f.u16("highest version")?,
+                role: pick(&ROLES, f.u8("role")?, "role")?,
+                number: f.u32("number")?,
+                life: f.u64("life")?,
+                age_us: f.u64("age")?,
+            }),
+            2 => Message::HandOff(HandOff {
+                command: f.u64("command")?,
+                hand_off: f.u16("hand-off")?,
+                band: f.u16("band")?,
+                write: f.flag("write mark")?,
+                volume: f.u64("volume")?,
+                key: f.u64("key")?,
+                mark: f.u64("mark")?,
+                units: f.amount("units")?,
+                shard: f.u32("shard")?,
+                left_us: f.u32("time left")?,
+                payload: payload_within(payload)?,
+            }),
+            3 => Message::Outcome(Outcome {
+                command: f.u64("command")?,
+                hand_off: f.u16("hand-off")?,
+                code: pick(&CODES, f.u8("outcome")?, "outcome")?,
+                used: Some(f.amount("use")?).filter(|used| *used < NO_USE),
+                others: f.amount("units of others")?,
+                queue: f.u32("queue")?,
+                busy: f.amount("busy part")?,
+                payload: payload_within(payload)?,
+            }),
+            4 => Message::Cancel { command: f.u64("command")?, hand_off: f.u16("hand-off")? },
+            5 => Message::Probe { number: f.u32("number")? },
+            6 => Message::Probed {
+                number: f.u32("number")?,
+                queue: f.u32("queue")?,
+                busy: f.amount("busy part")?,
+            },
+            7 => Message::Take(Take {
+                command: f.u64("command")?,
+                band: f.u16("band")?,
+                write: f.flag("write mark")?,
+                volume: f.u64("volume")?,
+                key: f.u64("key")?,
+                mark: f.u64("mark")?,
+                units: f.amount("units")?,
+                limit_us: f.u32("time limit")?,
+                payload: payload_within(payload)?,
+            }),
+            8 => Message::Final(Final {
+                command: f.u64("command")?,
+                verdict: pick(&VERDICTS, f.u8("final answer")?, "final answer")?,
+                back_us: f.u32("time to come back")?,
+                payload: payload_within(payload)?,
+            }),
+            9 => Message::GiveUp { command: f.u64("command")? },
+            10 => Message::Watch { epoch: f.u64("epoch")? },
+            11 => Message::List(List {
+                whole: f.flag("whole mark")?,
+                epoch: f.u64("epoch")?,
+                lines: lines(payload)?,
+            }),
+            12 => Message::Refused,
+            _ => return Ok(None),
+        }))
+    }
+
+    /// Appends the fields; the kind and what follows the fields come back.
+    pub(crate) fn encode<'m>(&'m self, out: &mut Vec<u8>) -> (u8, &'m [u8]) {
+        match self {
+            Message::Hello(m) => {
+                put(out, &[&m.lowest.to_le_bytes(), &m.highest.to_le_bytes(), &[place(&ROLES, &m.role)]]);
+                put(out, &[&m.number.to_le_bytes(), &m.life.to_le_bytes(), &m.age_us.to_le_bytes()]);
+                (1, &[])
+            }
+            Message::HandOff(m) => {
+                put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &m.band.to_le_bytes()]);
+                put(out, &[&[u8::from(m.write)], &m.volume.to_le_bytes(), &m.key.to_le_bytes()]);
+                put(out, &[&m.mark.to_le_bytes(), &m.units.to_le_bytes(), &m.shard.to_le_bytes()]);
+                put(out, &[&m.left_us.to_le_bytes()]);
+                (2, m.payload)
+            }
+            Message::Outcome(m) => {
+                put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &[place(&CODES, &m.code)]]);
+                put(out, &[&m.used.unwrap_or(NO_USE).to_le_bytes(), &m.others.to_le_bytes()]);
+                put(out, &[&m.queue.to_le_bytes(), &m.busy.to_le_bytes()]);
+                (3, m.payload)
+            }
+            Message::Cancel { command, hand_off } => {
+                put(out, &[&command.to_le_bytes(), &hand_off.to_le_bytes()]);
+                (4, &[])
+            }
+            Message::Probe { number } => {
+                put(out, &[&number.to_le_bytes()]);
+                (5, &[])
+            }
+            Message::Probed { number, queue, busy } => {
+                put(out, &[&number.to_le_bytes(), &queue.to_le_bytes(), &busy.to_le_bytes()]);
+                (6, &[])
+            }
+            Message::Take(m) => {
+                put(out, &[&m.command.to_le_bytes(), &m.band.to_le_bytes(), &[u8::from(m.write)]]);
+                put(out, &[&m.volume.to_le_bytes(), &m.key.to_le_bytes(), &m.mark.to_le_bytes()]);
+                put(out, &[&m.units.to_le_bytes(), &m.limit_us.to_le_bytes()]);
+                (7, m.payload)
+            }
+            Message::Final(m) => {
+                put(out, &[&m.command.to_le_bytes(), &[place(&VERDICTS, &m.verdict)]]);
+                put(out, &[&m.back_us.to_le_bytes()]);
+                (8, m.payload)
+            }
+            Message::GiveUp { command } => {
+                put(out, &[&command.to_le_bytes()]);
+                (9, &[])
+            }
+            Message::Watch { epoch } => {
+                put(out, &[&epoch.to_le_bytes()]);
+                (10, &[])
+            }
+            Message::List(m) => {
+                put(out, &[&[u8::from(m.whole)], &m.epoch.to_le_bytes()]);
+                // The lines stand behind the fields, where a payload stands; they are written by `finish`.
+                (11, &[])
+            }
+            Message::Refused => (12, &[]),
+        }
+    }
+
+    /// Appends what stands where a payload would and is not borrowed from the message.
+    pub(crate) fn finish(&self, out: &mut Vec<u8>) {
+        let Message::List(list) = self else { return };
+        for l in &list.lines {
+            put(out, &[&l.node.to_le_bytes(), &l.shard.to_le_bytes(), &l.zone.to_le_bytes()]);
+            put(out, &[&[place(&STATES, &l.state), 0], &l.life.to_le_bytes(), &l.age_us.to_le_bytes()]);
+            put(out, &[&l.address, &l.port.to_le_bytes(), &[0; 4]]);
+        }
+    }
+}
+
+fn put(out: &mut Vec<u8>, parts: &[&[u8]]) {
+    parts.iter().for_each(|part| out.extend_from_slice(part));
+}
+
+fn lines(bytes: &[u8]) -> Result<Vec<Line>, Fault> {
+    if bytes.len() % LINE != 0 || bytes.len() / LINE > MOST_LINES {
+        return Err(Fault::Impossible("length of the list"));
+    }
+    bytes.chunks_exact(LINE).map(line).collect()
+}
+
+fn line(bytes: &[u8]) -> Result<Line, Fault> {
+    let mut f = Fields::new(bytes);
+    let (node, shard, zone) = (f.u32("node")?, f.u32("shard")?, f.u16("zone")?);
+    let state = pick(&STATES, f.u8("state")?, "state")?;
+    f.u8("zero")?;
+    let (life, age_us) = (f.u64("life")?, f.u64("age")?);
+    let address = f.u32("address")?.to_le_bytes();
+    Ok(Line { node, shard, zone, state, life, age_us, address, port: f.u16("port")? })
+}
