--- a/crates/nodewire/src/message.rs
+++ b/crates/nodewire/src/message.rs
@@ -355,7 +355,7 @@
 }
 
 fn lines(bytes: &[u8]) -> Result<Vec<Line>, Fault> {
-    if bytes.len() % LINE != 0 || bytes.len() / LINE > MOST_LINES {
+    if !bytes.len().is_multiple_of(LINE) || bytes.len() / LINE > MOST_LINES {
         return Err(Fault::Impossible("length of the list"));
     }
     bytes.chunks_exact(LINE).map(line).collect()
