--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,317 @@
+//! The program `magpiewick`. `docs/operators.md` tells its commands, exit codes and log lines.
+
+mod logs;
+mod sheet;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use magpiewick_drill::{drill, load, Drilled, Rule, Said};
+use magpiewick_gateway::{Gateway, HostEnd};
+use magpiewick_link::Clock;
+use magpiewick_standin::{play, Handle};
+use sheet::Sheet;
+use std::hash::{BuildHasher, Hasher};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit codes, as `docs/operators.md` lists them.
+const BROKEN: u8 = 1;
+const USAGE: u8 = 2;
+const FAILED: u8 = 3;
+const ABANDONED: u8 = 4;
+
+#[derive(Parser)]
+#[command(name = "magpiewick", version, about = "A storage gateway: schedules a host's reads and writes over storage nodes")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Task,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Run a host; with a block `standin` in the file, its stand-ins run with it
+    Serve {
+        file: PathBuf,
+        /// The host's number, in place of the file's
+        #[arg(long)]
+        number: Option<u32>,
+        /// Where clients reach it, in place of the file's
+        #[arg(long)]
+        listen: Option<SocketAddr>,
+        /// The list service, in place of the file's
+        #[arg(long)]
+        list: Option<SocketAddr>,
+        /// The seed of its chance, in place of the file's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Run no stand-ins
+        #[arg(long)]
+        bare: bool,
+    },
+    /// Check a settings file; all its faults are named at once
+    Check { file: PathBuf },
+    /// Run one of a file's storage nodes as a stand-in, with the troubles that the file has for it
+    Node {
+        file: PathBuf,
+        /// The node's number
+        #[arg(long)]
+        number: u32,
+    },
+    /// Run a file's list service and all its nodes as stand-ins
+    List { file: PathBuf },
+    /// Play a drill on loopback and audit the seven rules from the traffic alone
+    Drill {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, value_enum, default_value_t = Form::Text)]
+        format: Form,
+        /// Break this rule in the rig, to see the audit find it
+        #[arg(long, value_parser = rule)]
+        plant: Option<Rule>,
+        /// Write a line for each command, with its one final answer, to this file
+        #[arg(long)]
+        pairs: Option<PathBuf>,
+    },
+    /// Offer a file's traffic to a host that runs
+    Load {
+        file: PathBuf,
+        /// The host; the file's `listen` otherwise
+        #[arg(long)]
+        host: Option<SocketAddr>,
+        /// Commands a second, in place of the file's
+        #[arg(long)]
+        rate: Option<f64>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, value_enum, default_value_t = Form::Text)]
+        format: Form,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Form {
+    Text,
+    Json,
+}
+
+fn rule(name: &str) -> Result<Rule, String> {
+    let known = Rule::ALL.map(Rule::name);
+    let found = Rule::ALL.into_iter().find(|r| r.name() == name);
+    found.ok_or_else(|| format!("expected one of {}", known.join(", ")))
+}
+
+/// A number that no other start of a process has.
+fn fresh() -> u64 {
+    // The hasher's keys are drawn from the system's chance.
+    std::hash::RandomState::new().build_hasher().finish() | 1
+}
+
+fn main() -> ExitCode {
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(e) => {
+            // Help and version are no errors; what cannot be printed has no reader.
+            _ = e.print();
+            return ExitCode::from(if e.use_stderr() { USAGE } else { 0 });
+        }
+    };
+    let file = match &arguments.command {
+        Task::Serve { file, .. }
+        | Task::Check { file }
+        | Task::Node { file, .. }
+        | Task::List { file }
+        | Task::Drill { file, .. }
+        | Task::Load { file, .. } => file.clone(),
+    };
+    let sheet = match sheet::read(&file, fresh()) {
+        Ok(sheet) => sheet,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match run(arguments.command, sheet, &file) {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            eprintln!("magpiewick: {e}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run(task: Task, mut sheet: Sheet, file: &Path) -> io::Result<u8> {
+    match task {
+        Task::Check { .. } => {
+            let host = &sheet.host;
+            let (bands, plans) = (host.start.bands.len(), host.start.plans.len());
+            println!("{}: good; {bands} bands, {plans} plans, {} volumes", file.display(), host.volumes.len());
+            Ok(0)
+        }
+        Task::Serve { number, listen, list, seed, bare, .. } => {
+            sheet.host.number = number.unwrap_or(sheet.host.number);
+            sheet.host.listen = listen.unwrap_or(sheet.host.listen);
+            sheet.host.list.address = list.unwrap_or(sheet.host.list.address);
+            sheet.host.start.seed = seed.unwrap_or(sheet.host.start.seed);
+            serve(sheet, bare)
+        }
+        Task::Node { number, .. } => {
+            let Some(fleet) = &mut sheet.fleet else { return Ok(missing(file, "standin")) };
+            fleet.nodes.retain(|n| n.number == number);
+            if fleet.nodes.is_empty() {
+                eprintln!("{}: no node {number} in the block standin", file.display());
+                return Ok(USAGE);
+            }
+            stand_in(sheet, false)
+        }
+        Task::List { .. } if sheet.fleet.is_some() => stand_in(sheet, true),
+        Task::List { .. } => Ok(missing(file, "standin")),
+        Task::Drill { seed, format, plant, pairs, .. } => {
+            let Some(fleet) = &sheet.fleet else { return Ok(missing(file, "standin")) };
+            let Some(drill_sheet) = &sheet.drill else { return Ok(missing(file, "traffic")) };
+            logs::start(&sheet.host.log);
+            let program = std::env::current_exe()?;
+            let drilled = drill(&program, file, (&sheet.host, fleet, drill_sheet), seed, plant)?;
+            if let Some(path) = pairs {
+                write_pairs(&path, &drilled)?;
+            }
+            tell(&drilled, format)?;
+            Ok(if drilled.ok { 0 } else { BROKEN })
+        }
+        Task::Load { host, rate, seed, format, .. } => {
+            let Some(drill_sheet) = &mut sheet.drill else { return Ok(missing(file, "traffic")) };
+            drill_sheet.traffic.rate = rate.unwrap_or(drill_sheet.traffic.rate);
+            sheet.host.start.hosts = 1.0;
+            let report = load(&sheet.host, drill_sheet, host.unwrap_or(sheet.host.listen), seed)?;
+            match format {
+                Form::Json => println!("{}", serde_json::to_string_pretty(&report)?),
+                Form::Text => {
+                    let r = &report;
+                    println!("offered {:.0}/s, settled {:.0}/s", r.offered_a_second, r.settled_a_second);
+                    println!("settled {}, bounced {}, scrapped {}", r.settled, r.bounced, r.scrapped);
+                    println!("p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms", r.p50_ms, r.p99_ms, r.p999_ms);
+                }
+            }
+            Ok(0)
+        }
+    }
+}
+
+fn missing(file: &Path, block: &str) -> u8 {
+    eprintln!("{}: the block {block} is missing; this command needs it", file.display());
+    USAGE
+}
+
+/// A stream on which each SIGTERM and SIGINT shows as a byte.
+fn signals() -> io::Result<UnixStream> {
+    let (read, write) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, write.try_clone()?)?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGINT, write)?;
+    Ok(read)
+}
+
+fn serve(mut sheet: Sheet, bare: bool) -> io::Result<u8> {
+    logs::start(&sheet.host.log);
+    let stop = signals()?;
+    let stand_ins = match sheet.fleet.take().filter(|_| !bare) {
+        Some(fleet) => {
+            let handle = Handle::start(fleet, Clock::start(), None)?;
+            handle.order(|fleet| fleet.forget_records());
+            sheet.host.list.address = handle.list;
+            Some(handle)
+        }
+        None => None,
+    };
+    let gateway = Gateway::bind(sheet.host, stop, fresh())?;
+    println!("ready {}", gateway.address());
+    io::stdout().flush()?;
+    let end = gateway.run()?;
+    drop(stand_ins);
+    Ok(match end {
+        HostEnd::Stopped => 0,
+        HostEnd::Abandoned => ABANDONED,
+    })
+}
+
+fn stand_in(sheet: Sheet, list: bool) -> io::Result<u8> {
+    logs::start(&sheet.host.log);
+    let mut stop = signals()?;
+    let Some(fleet) = sheet.fleet else { return Ok(USAGE) };
+    let known: Vec<u32> = fleet.nodes.iter().map(|n| n.number).collect();
+    let clock = Clock::start();
+    let zones: Vec<(u64, u32)> = fleet.nodes.iter().map(|n| (u64::from(n.zone), n.number)).collect();
+    let handle = Handle::start(fleet, clock, None)?;
+    handle.order(|fleet| fleet.forget_records());
+    let addresses = handle.ask(|fleet| fleet.addresses()).unwrap_or_default();
+    match list {
+        true => println!("ready {}", handle.list),
+        false => println!("ready {}", addresses.first().map_or(handle.list, |a| a.1)),
+    }
+    io::stdout().flush()?;
+    let troubles = sheet.drill.map_or(Vec::new(), |d| d.troubles);
+    let zone = |zone: u64| zones.iter().filter(|z| z.0 == zone).map(|z| z.1).collect();
+    let steps = troubles.iter().flat_map(|t| t.steps(zone)).collect();
+    tracing::info!(nodes = known.len(), "stand-ins run");
+    stop.set_nonblocking(true)?;
+    let told = || io::Read::read(&mut &stop, &mut [0; 1]).is_ok();
+    play(&handle, &clock, clock.now(), steps, |_| {}, told);
+    stop.set_nonblocking(false)?;
+    // Whatever the read says, the wait is over.
+    _ = io::Read::read(&mut stop, &mut [0; 1]);
+    Ok(0)
+}
+
+/// One line a try: what was asked, when, and its one final answer.
+fn write_pairs(path: &Path, drilled: &Drilled) -> io::Result<()> {
+    let mut out = io::BufWriter::new(std::fs::File::create(path)?);
+    for (at, said) in &drilled.said {
+        let line = match said {
+            Said::Took(t) => serde_json::json!({
+                "at_ms": at, "try": t.number, "command": t.mark, "host": t.at_host, "band": t.band,
+                "volume": t.volume, "key": t.key, "limit_ms": t.limit, "later": t.later
+            }),
+            Said::Answered { number, verdict, back } => serde_json::json!({
+                "at_ms": at, "try": number, "answer": format!("{verdict:?}").to_lowercase(), "back_ms": back
+            }),
+            Said::GaveUp { number } => serde_json::json!({ "at_ms": at, "try": number, "answer": "none" }),
+            Said::Lost { number } => serde_json::json!({ "at_ms": at, "try": number, "answer": "host-died" }),
+        };
+        writeln!(out, "{line}")?;
+    }
+    out.flush()
+}
+
+fn tell(d: &Drilled, format: Form) -> io::Result<()> {
+    if let Form::Json = format {
+        println!("{}", serde_json::to_string_pretty(d)?);
+        return Ok(());
+    }
+    println!("{} hosts, {} nodes, {} s, seed {}", d.hosts, d.nodes, d.seconds, d.seed);
+    println!(
+        "taken {}: settled {}, bounced {}, scrapped {}, host died {}, unanswered {}",
+        d.taken, d.settled, d.bounced, d.scrapped, d.host_died, d.unanswered
+    );
+    println!("payoff within the soft limit {:.3}; p50 {:.1} ms, p99 {:.1} ms", d.payoff, d.p50_ms, d.p99_ms);
+    println!("hand-offs {}, further {}; hosts ended with {:?}", d.verdict.hand_offs, d.verdict.further, d.exit_codes);
+    for rule in Rule::ALL {
+        let found: Vec<_> = d.verdict.findings.iter().filter(|f| f.rule == rule).collect();
+        let word = if found.is_empty() { "kept" } else { "BROKEN" };
+        println!("  {:7} {word:6} checked {}", rule.name(), d.verdict.checked[rule.name()]);
+        for f in found.iter().take(5) {
+            println!(
+                "    at {:.0} ms host {:x} node {:?} command {:?}: {}",
+                f.at,
+                f.host.unwrap_or(0),
+                f.node,
+                f.command,
+                f.what
+            );
+        }
+        if found.len() > 5 {
+            println!("    and {} more", found.len() - 5);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/drill/src/audit.rs
@@ -0,0 +1,512 @@
+//! Audits the seven rules from what nodes and clients saw. Pure: records in, a verdict out.
+//!
+//! It is a plain model of the rules, written for being right, not fast, and apart from the module: it shares
+//! no code with what it audits but the figures of the settings file.
+
+use crate::clients::{Said, Try};
+use crate::sheet::DrillSheet;
+use magpiewick::{Group, Repeats};
+use magpiewick_gateway::sheet::HostSheet;
+use magpiewick_nodewire::Verdict as Answer;
+use magpiewick_standin::{FleetSheet, Seen};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+type Ms = f64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Rule {
+    Lost,
+    Twice,
+    Drain,
+    Cold,
+    Order,
+    Budget,
+    Limits,
+}
+
+impl Rule {
+    pub const ALL: [Rule; 7] =
+        [Rule::Lost, Rule::Twice, Rule::Drain, Rule::Cold, Rule::Order, Rule::Budget, Rule::Limits];
+
+    pub fn name(self) -> &'static str {
+        ["lost", "twice", "drain", "cold", "order", "budget", "limits"][self as usize]
+    }
+}
+
+/// One breach.
+#[derive(Clone, Debug, Serialize)]
+pub struct Finding {
+    pub rule: Rule,
+    /// Milliseconds since the run began.
+    pub at: Ms,
+    /// The host's life, where one host is to blame.
+    pub host: Option<u64>,
+    pub node: Option<u32>,
+    /// The client's mark of the command.
+    pub command: Option<u64>,
+    pub what: String,
+}
+
+/// What an audit came to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    /// How much was checked for each rule.
+    pub checked: BTreeMap<&'static str, u64>,
+    pub findings: Vec<Finding>,
+    /// Payoff that was due, and what was reached of it within the soft limit.
+    pub due: f64,
+    pub reached: f64,
+    pub hand_offs: u64,
+    pub further: u64,
+}
+
+/// All that is known of a run.
+pub struct Evidence<'a> {
+    pub host: &'a HostSheet,
+    pub fleet: &'a FleetSheet,
+    pub drill: &'a DrillSheet,
+    pub seen: &'a [(Ms, Seen)],
+    pub said: &'a [(Ms, Said)],
+    /// Hosts that the script stopped where they stood: number, from, to.
+    pub stalls: &'a [(usize, Ms, Ms)],
+}
+
+/// A try and how it ended for its client.
+struct Tried {
+    t: Try,
+    at: Ms,
+    answer: Option<(Ms, Answer)>,
+    ended: Option<Ms>,
+    sent: Vec<usize>,
+}
+
+impl Tried {
+    fn over(&self) -> Ms {
+        let answered = self.answer.map_or(f64::INFINITY, |a| a.0);
+        answered.min(self.ended.unwrap_or(f64::INFINITY))
+    }
+}
+
+/// A hand-off as a node saw it, and when its wait ended.
+struct Sent {
+    at: Ms,
+    node: u32,
+    life: u64,
+    host: u64,
+    command: u64,
+    hand_off: u16,
+    volume: u64,
+    units: f64,
+    mark: u64,
+    /// When the node answered, and whether it ran.
+    answered: Option<(Ms, bool)>,
+    /// When the host stopped waiting, by a cancel or a broken connection.
+    dropped: Option<Ms>,
+}
+
+impl Sent {
+    fn never_ran(&self, by: Ms) -> bool {
+        self.answered.is_some_and(|(at, ran)| !ran && at <= by)
+    }
+}
+
+struct Audit<'a> {
+    e: &'a Evidence<'a>,
+    tried: Vec<Tried>,
+    sent: Vec<Sent>,
+    verdict: Verdict,
+}
+
+pub fn audit(e: &Evidence) -> Verdict {
+    let mut a = Audit { e, tried: Vec::new(), sent: Vec::new(), verdict: Verdict::default() };
+    Rule::ALL.iter().for_each(|rule| _ = a.verdict.checked.insert(rule.name(), 0));
+    a.gather_tries();
+    a.gather_hand_offs();
+    a.answers();
+    a.effects();
+    a.drains();
+    a.cold();
+    a.order();
+    a.budget();
+    a.limits();
+    a.payoff();
+    a.verdict.findings.sort_by(|x, y| x.at.total_cmp(&y.at));
+    a.verdict
+}
+
+impl Audit<'_> {
+    fn find(&mut self, rule: Rule, at: Ms, sent: Option<usize>, command: Option<u64>, what: String) {
+        let s = sent.map(|i| &self.sent[i]);
+        let (host, node) = (s.map(|s| s.host), s.map(|s| s.node));
+        let command = command.or(s.map(|s| s.mark));
+        self.verdict.findings.push(Finding { rule, at, host, node, command, what });
+    }
+
+    fn checked(&mut self, rule: Rule, count: usize) {
+        *self.verdict.checked.entry(rule.name()).or_default() += count as u64;
+    }
+
+    fn stalled(&self, host: usize, from: Ms, to: Ms) -> bool {
+        self.e.stalls.iter().any(|s| s.0 == host && s.1 <= to && s.2 >= from)
+    }
+
+    fn gather_tries(&mut self) {
+        let mut by_number: HashMap<u64, usize> = HashMap::new();
+        for (at, said) in self.e.said {
+            match *said {
+                Said::Took(t) => {
+                    by_number.insert(t.number, self.tried.len());
+                    self.tried.push(Tried { t, at: *at, answer: None, ended: None, sent: Vec::new() });
+                }
+                Said::Answered { number, verdict, .. } => {
+                    let Some(&i) = by_number.get(&number) else {
+                        self.find(Rule::Lost, *at, None, None, format!("an answer to {number}, never asked"));
+                        continue;
+                    };
+                    if self.tried[i].answer.is_some() {
+                        let what = "a second final answer".to_string();
+                        self.find(Rule::Lost, *at, None, Some(self.tried[i].t.mark), what);
+                    }
+                    self.tried[i].answer.get_or_insert((*at, verdict));
+                }
+                Said::GaveUp { number } | Said::Lost { number } => {
+                    if let Some(&i) = by_number.get(&number) {
+                        self.tried[i].ended = Some(*at);
+                    }
+                }
+            }
+        }
+    }
+
+    fn gather_hand_offs(&mut self) {
+        let mut lives: HashMap<u32, u64> = HashMap::new();
+        let mut out: HashMap<(u64, u64, u16), usize> = HashMap::new();
+        for (at, seen) in self.e.seen {
+            match *seen {
+                Seen::Started { node, life, .. } => _ = lives.insert(node, life),
+                Seen::HandOff { node, host, command, hand_off, volume, units, mark, .. } => {
+                    let life = lives.get(&node).copied().unwrap_or(0);
+                    out.insert((host, command, hand_off), self.sent.len());
+                    let (at, answered, dropped) = (*at, None, None);
+                    self.sent.push(Sent {
+                        at, node, life, host, command, hand_off, volume, units, mark, answered, dropped,
+                    });
+                }
+                Seen::Answered { host, command, hand_off, ran, .. } => {
+                    if let Some(&i) = out.get(&(host, command, hand_off)) {
+                        self.sent[i].answered.get_or_insert((*at, ran));
+                    }
+                }
+                Seen::Cancelled { host, command, hand_off, .. } => {
+                    if let Some(&i) = out.get(&(host, command, hand_off)) {
+                        self.sent[i].dropped.get_or_insert(*at);
+                    }
+                }
+                Seen::Ended { node, host } => {
+                    let open = self.sent.iter_mut().rev().take(10_000);
+                    for s in open.filter(|s| s.node == node && s.host == host && s.answered.is_none()) {
+                        s.dropped.get_or_insert(*at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        // A hand-off belongs to the latest try of its mark that its host had taken by then.
+        let mut by_mark: HashMap<(u64, u64), Vec<usize>> = HashMap::new();
+        for (i, tried) in self.tried.iter().enumerate() {
+            by_mark.entry((tried.t.host, tried.t.mark)).or_default().push(i);
+        }
+        let mut first: HashMap<(u64, u64), Option<usize>> = HashMap::new();
+        for i in 0..self.sent.len() {
+            let s = &self.sent[i];
+            let tries = by_mark.get(&(s.host, s.mark));
+            let latest = || tries.and_then(|all| all.iter().rev().find(|t| self.tried[**t].at <= s.at).copied());
+            let belongs = *first.entry((s.host, s.command)).or_insert_with(latest);
+            match belongs {
+                Some(t) => self.tried[t].sent.push(i),
+                None => {
+                    let what = "a hand-off of a command that no client asked".to_string();
+                    self.find(Rule::Lost, self.sent[i].at, Some(i), None, what);
+                }
+            }
+        }
+        self.verdict.hand_offs = self.sent.len() as u64;
+        self.verdict.further = self.sent.iter().filter(|s| s.hand_off > 0).count() as u64;
+    }
+
+    /// Rule 1: one final answer in time, and nothing sent after it.
+    fn answers(&mut self) {
+        let noise = self.e.drill.noise;
+        self.checked(Rule::Lost, self.tried.len());
+        for i in 0..self.tried.len() {
+            let tried = &self.tried[i];
+            let (t, until) = (tried.t, tried.at + tried.t.limit + noise);
+            let stalled = self.stalled(t.at_host, tried.at - noise, until);
+            let late = match (tried.answer, tried.ended) {
+                // A connection that ended took the wait with it: its host died.
+                (None, Some(ended)) => (ended >= until - 1.0).then_some(ended),
+                (None, None) => Some(until),
+                (Some((at, _)), _) => (at > until).then_some(at),
+            };
+            if let Some(at) = late.filter(|_| !stalled) {
+                let what = format!("no final answer within {} ms", t.limit);
+                self.find(Rule::Lost, at, None, Some(t.mark), what);
+            }
+            let over = self.tried[i].over() + noise;
+            for s in self.tried[i].sent.clone() {
+                if self.sent[s].at > over && !stalled {
+                    let what = format!("sent {:.0} ms after its end", self.sent[s].at - over + noise);
+                    self.find(Rule::Lost, self.sent[s].at, Some(s), None, what);
+                }
+            }
+        }
+    }
+
+    /// Rule 2: no effect twice, no hand-off and no bounce that could bring one.
+    fn effects(&mut self) {
+        let bands = &self.e.host.start.bands;
+        let repeats = |band: u16| bands.get(usize::from(band)).map_or(Repeats::Binding, |b| b.repeats);
+        let mut ran: HashMap<u64, u32> = HashMap::new();
+        for (at, seen) in self.e.seen {
+            let Seen::Ran { node, host, band, mark, .. } = *seen else { continue };
+            if repeats(band) == Repeats::Retriable {
+                continue;
+            }
+            let times = ran.entry(mark).or_default();
+            *times += 1;
+            if *times == 2 {
+                let what = "its effect took place twice".to_string();
+                let (rule, at) = (Rule::Twice, *at);
+                let f = Finding { rule, at, host: Some(host), node: Some(node), command: Some(mark), what };
+                self.verdict.findings.push(f);
+            }
+        }
+        self.checked(Rule::Twice, ran.len());
+        for i in 0..self.tried.len() {
+            let band = usize::from(self.tried[i].t.band);
+            if bands[band].repeats != Repeats::Retriable {
+                self.repeats(i, band);
+            }
+        }
+    }
+
+    fn repeats(&mut self, tried: usize, band: usize) {
+        let (noise, band) = (self.e.drill.noise, &self.e.host.start.bands[band]);
+        let sent = self.tried[tried].sent.clone();
+        for (n, &s) in sent.iter().enumerate() {
+            let at = self.sent[s].at;
+            let Some(&before) = sent[..n].iter().find(|b| !self.sent[**b].never_ran(at)) else { continue };
+            let (first, now) = (&self.sent[before], &self.sent[s]);
+            let what = match band.repeats {
+                Repeats::Binding => Some("a binding command sent again that may have run"),
+                _ if at > first.at + band.memory + noise => Some("sent again after its mark is forgotten"),
+                _ if !self.same_group(band.group, first.node, now.node) => Some("sent again outside its group"),
+                _ => None,
+            };
+            if let Some(what) = what {
+                self.find(Rule::Twice, at, Some(s), None, what.to_string());
+            }
+        }
+        let Some((at, Answer::Bounced)) = self.tried[tried].answer else { return };
+        let everywhere = band.repeats == Repeats::Fingerprinted && band.group == Group::All;
+        if let Some(&s) = sent.iter().find(|s| !self.sent[**s].never_ran(at)).filter(|_| !everywhere) {
+            self.find(Rule::Twice, at, Some(s), None, "bounced though it may have run".to_string());
+        }
+    }
+
+    fn same_group(&self, group: Group, a: u32, b: u32) -> bool {
+        let node = |n: u32| self.e.fleet.nodes.iter().find(|x| x.number == n);
+        match (group, node(a), node(b)) {
+            (Group::All, ..) => true,
+            (Group::Zone, Some(a), Some(b)) => a.zone == b.zone,
+            (Group::Shard, Some(a), Some(b)) => a.shard == b.shard,
+            _ => false,
+        }
+    }
+
+    /// Rule 3: nothing new later than the grace after a host was told.
+    fn drains(&mut self) {
+        let grace = self.e.drill.drain_within + self.e.drill.noise;
+        let mut told: HashMap<(u64, u32, u64), Ms> = HashMap::new();
+        for (at, seen) in self.e.seen {
+            if let Seen::Told { host, node, life } = *seen {
+                told.entry((host, node, life)).or_insert(*at);
+            }
+        }
+        let numbers: HashMap<u64, usize> = self.tried.iter().map(|t| (t.t.host, t.t.at_host)).collect();
+        let mut met: HashSet<(u64, u32, u64)> = HashSet::new();
+        for i in 0..self.sent.len() {
+            let s = &self.sent[i];
+            let place = (s.host, s.node, s.life);
+            let Some(&at) = told.get(&place) else { continue };
+            met.insert(place);
+            // A host that stood still heard of it when it went on.
+            let stalls = self.e.stalls.iter().filter(|x| Some(&x.0) == numbers.get(&s.host) && x.1 <= at && at < x.2);
+            let heard = stalls.map(|x| x.2).fold(at, f64::max);
+            if s.at > heard + grace {
+                let late = s.at - heard;
+                self.find(Rule::Drain, s.at, Some(i), None, format!("sent {late:.0} ms after the notice"));
+            }
+        }
+        self.checked(Rule::Drain, met.len());
+    }
+
+    /// Rule 4: what all hosts together sent to a node that had just started.
+    fn cold(&mut self) {
+        let c = self.e.fleet.cold;
+        let starts = self.e.seen.iter().filter_map(|(at, seen)| match *seen {
+            Seen::Started { node, life, cold: true } => Some((*at, node, life)),
+            _ => None,
+        });
+        for (start, node, life) in starts.collect::<Vec<_>>() {
+            let Some(n) = self.e.fleet.nodes.iter().find(|n| n.number == node) else { continue };
+            let a_ms = n.cores as f64 * n.speed / self.e.fleet.unit_work;
+            let warmth = |at: Ms| (c.share + (1.0 - c.share) * (at - start) / c.time).min(1.0);
+            let cold = |s: &Sent| s.node == node && s.life == life && s.at < start + c.time + c.fall_time;
+            let own: Vec<usize> = (0..self.sent.len()).filter(|i| cold(&self.sent[*i])).collect();
+            self.checked(Rule::Cold, own.len());
+            for (last, &i) in own.iter().enumerate() {
+                let to = self.sent[i].at;
+                let from = (to - c.fall_time).max(start);
+                let sum: f64 =
+                    own[..=last].iter().filter(|s| self.sent[**s].at >= from).map(|s| self.sent[*s].units).sum();
+                let could = c.fall_multiple * a_ms * c.fall_time * (warmth(from) + warmth(to)) / 2.0;
+                if sum > could.max(c.units) {
+                    let what = format!("sent {sum} units in {} ms, which bears {could:.0}", c.fall_time);
+                    self.find(Rule::Cold, to, Some(i), None, what);
+                    break;
+                }
+            }
+        }
+        for (at, seen) in self.e.seen {
+            if let Seen::Fell { node } = *seen {
+                let (rule, host, command, what) = (Rule::Cold, None, None, "it fell over".to_string());
+                let f = Finding { rule, at: *at, host, node: Some(node), command, what };
+                self.verdict.findings.push(f);
+            }
+        }
+    }
+
+    /// When a host knew the outcome of a hand-off, at the earliest; whether the key must rest after it.
+    fn outcome(&self, s: &Sent, tried: &Tried) -> (Ms, bool) {
+        match (s.answered, s.dropped) {
+            (Some((at, _)), None) => (at, false),
+            (Some((at, _)), Some(dropped)) if at <= dropped => (at, false),
+            (_, Some(dropped)) => (dropped, true),
+            (None, None) => (tried.over(), true),
+        }
+    }
+
+    /// Rule 5: commands of one key at one host run one at a time, in the order taken.
+    fn order(&mut self) {
+        let (noise, rest) = (self.e.drill.noise, self.e.host.start.order_rest);
+        let mut lines: BTreeMap<(u64, u64), Vec<usize>> = BTreeMap::new();
+        for (i, tried) in self.tried.iter().enumerate() {
+            if self.e.host.start.bands[usize::from(tried.t.band)].in_order {
+                lines.entry((tried.t.host, tried.t.key)).or_default().push(i);
+            }
+        }
+        let mut found = Vec::new();
+        let mut checked = 0;
+        for line in lines.values() {
+            for (n, &later) in line.iter().enumerate() {
+                let Some(&first) = self.tried[later].sent.first() else { continue };
+                for &sent in &self.tried[later].sent {
+                    let at = self.sent[sent].at;
+                    // Whoever was taken long before has ended long before.
+                    for &earlier in line[..n].iter().rev().take(64) {
+                        checked += 1;
+                        let e = &self.tried[earlier];
+                        if e.over() > at + noise && !self.stalled(e.t.at_host, e.at, at) {
+                            found.push((at, sent, "sent while an earlier one of its key is not over"));
+                        }
+                        for s in e.sent.iter().map(|s| &self.sent[*s]) {
+                            let (known, rests) = self.outcome(s, e);
+                            let from = if rests && sent == first { known + rest } else { known };
+                            if at + noise < from && known < f64::INFINITY || s.at > at {
+                                found.push((at, sent, "sent while an earlier one of its key may run"));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        self.checked(Rule::Order, checked);
+        for (at, sent, what) in found {
+            self.find(Rule::Order, at, Some(sent), None, what.to_string());
+        }
+    }
+
+    /// Rule 6: further hand-offs of one host in any window.
+    fn budget(&mut self) {
+        let Some(b) = &self.e.host.start.budget else { return };
+        let noise = self.e.drill.noise;
+        let mut hosts: BTreeMap<u64, (Vec<Ms>, Vec<usize>)> = BTreeMap::new();
+        for tried in &self.tried {
+            hosts.entry(tried.t.host).or_default().0.push(tried.at);
+        }
+        for (i, s) in self.sent.iter().enumerate().filter(|(_, s)| s.hand_off > 0) {
+            hosts.entry(s.host).or_default().1.push(i);
+        }
+        let mut found = Vec::new();
+        for (taken, further) in hosts.values() {
+            self.checked(Rule::Budget, further.len());
+            for (n, &i) in further.iter().enumerate() {
+                let at = self.sent[i].at;
+                let within = |t: Ms, more: Ms| t > at - b.window - more && t <= at + more;
+                let made = further[..=n].iter().filter(|f| within(self.sent[**f].at, -noise)).count();
+                let took = taken.iter().filter(|t| within(**t, noise)).count();
+                let room = b.free + b.share * took as f64;
+                if made as f64 > room {
+                    found.push((i, format!("{made} further hand-offs in a window with room for {room:.1}")));
+                }
+            }
+        }
+        for (i, what) in found {
+            self.find(Rule::Budget, self.sent[i].at, Some(i), None, what);
+        }
+    }
+
+    /// Rule 7: what all hosts together sent for a volume with a limit.
+    fn limits(&mut self) {
+        let start = &self.e.host.start;
+        let mut known: HashSet<(u64, u64)> = HashSet::new();
+        let mut stores: HashMap<u64, (f64, Ms)> = HashMap::new();
+        let mut found = Vec::new();
+        let mut checked = 0;
+        for (i, s) in self.sent.iter().enumerate().filter(|(_, s)| known.insert((s.host, s.command))) {
+            let Some(plan) = self.e.host.volumes.get(&s.volume).map(|v| &start.plans[v.plan]) else { continue };
+            if plan.limit_rate <= 0.0 {
+                continue;
+            }
+            checked += 1;
+            let (level, filled) = stores.get(&s.volume).copied().unwrap_or((plan.limit_store, s.at));
+            let level = (level + (s.at - filled) * plan.limit_rate / 1000.0).min(plan.limit_store) - s.units;
+            stores.insert(s.volume, (level, s.at));
+            let slack = (0.1 * plan.limit_store).max(start.most_units);
+            if level < -slack {
+                found.push((i, format!("the volume's store is {:.1} units below 0", -level)));
+            }
+        }
+        self.checked(Rule::Limits, checked);
+        for (i, what) in found {
+            self.find(Rule::Limits, self.sent[i].at, Some(i), None, what);
+        }
+    }
+
+    fn payoff(&mut self) {
+        let start = &self.e.host.start;
+        for tried in &self.tried {
+            let band = &start.bands[usize::from(tried.t.band)];
+            if !tried.t.later {
+                self.verdict.due += band.payoff;
+            }
+            let settled = tried.answer.filter(|a| a.1 == Answer::Settled);
+            if settled.is_some_and(|(at, _)| at <= tried.t.first + band.soft_limit) {
+                self.verdict.reached += band.payoff;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/clients.rs
@@ -0,0 +1,473 @@
+//! Clients as an open loop: commands come at their times whatever becomes of the earlier ones, and latencies
+//! count from the time at which a command was due, so that a late loop hides nothing.
+
+use crate::sheet::{DrillSheet, Traffic};
+use hdrhistogram::Histogram;
+use magpiewick_gateway::sheet::HostSheet;
+use magpiewick_link::{Clock, Connection, Poll, Timers, Woken, NOTHING};
+use magpiewick_nodewire::{self as wire, Hello, Message, Read, Role, Take, Verdict, LONG_AGO, VERSION};
+use nanorand::{Rng, WyRand};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::JoinHandle;
+
+type Ms = f64;
+
+/// A try of a command as its client made it.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    /// Counts tries over the run; a later try of a command has its mark and another number.
+    pub number: u64,
+    pub mark: u64,
+    /// The life and the number of the host that took it.
+    pub host: u64,
+    pub at_host: usize,
+    pub band: u16,
+    pub volume: u64,
+    pub key: u64,
+    pub units: f64,
+    pub limit: Ms,
+    /// When the command was due at first, over all its tries.
+    pub first: Ms,
+    pub later: bool,
+}
+
+/// What a client saw or did.
+#[derive(Clone, Copy, Debug)]
+pub enum Said {
+    Took(Try),
+    Answered { number: u64, verdict: Verdict, back: Ms },
+    /// The client's time was up.
+    GaveUp { number: u64 },
+    /// The connection ended, and with it the wait.
+    Lost { number: u64 },
+}
+
+/// Counts and latencies of all clients.
+#[derive(Clone)]
+pub struct Tally {
+    pub settled: u64,
+    pub bounced: u64,
+    pub scrapped: u64,
+    pub gave_up: u64,
+    pub lost: u64,
+    pub taken: u64,
+    /// Microseconds from when a command was due until it was settled.
+    pub latency: Histogram<u64>,
+}
+
+impl Default for Tally {
+    fn default() -> Tally {
+        // Three digits from a microsecond to a minute: bounds the crate cannot refuse.
+        let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds of the histogram");
+        Tally { settled: 0, bounced: 0, scrapped: 0, gave_up: 0, lost: 0, taken: 0, latency }
+    }
+}
+
+/// Where a host is; none while it is down.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Host {
+    pub address: Option<SocketAddr>,
+}
+
+enum Order {
+    Host(usize, Host),
+    Surge(u64, f64),
+    Stop,
+}
+
+struct Line {
+    connection: Connection,
+    /// Known from the host's greeting.
+    life: Option<u64>,
+}
+
+struct InHand {
+    attempt: Try,
+    line: usize,
+    host: usize,
+    mix: usize,
+    volume: usize,
+}
+
+enum Due {
+    GiveUp(u64),
+    Again(u64),
+}
+
+struct Volume {
+    id: u64,
+    hosts: Vec<usize>,
+    surge: f64,
+}
+
+struct Loop {
+    clock: Clock,
+    poll: Poll,
+    chance: WyRand,
+    traffic: Traffic,
+    limits: Vec<Ms>,
+    again: Vec<bool>,
+    volumes: Vec<Volume>,
+    hosts: Vec<Host>,
+    lines: Vec<Option<Line>>,
+    in_hand: HashMap<u64, InHand>,
+    /// Bounced commands that come back.
+    back: HashMap<u64, InHand>,
+    timers: Timers<u64>,
+    dues: HashMap<u64, Due>,
+    serial: u64,
+    next_at: Ms,
+    now: Ms,
+    ends: Ms,
+    records: Option<Vec<(Ms, Said)>>,
+    tally: Tally,
+    payload: Vec<u8>,
+    deafened: Option<u64>,
+    /// How much longer than it says a client waits, so that a late thread is not taken for a late host.
+    noise: Ms,
+}
+
+/// The clients of a run, in a thread of their own.
+pub struct Clients {
+    orders: Sender<Order>,
+    poll: Poll,
+    thread: JoinHandle<(Tally, Vec<(Ms, Said)>)>,
+}
+
+impl Clients {
+    /// Starts the clients: they send from `begin` to `end` on `clock`. With `deafen` one answer is lost on
+    /// purpose, in the rig, for an audit that must find it.
+    pub fn start(
+        sheet: &HostSheet,
+        drill: &DrillSheet,
+        hosts: Vec<Host>,
+        clock: Clock,
+        (begin, end): (Ms, Ms),
+        seed: u64,
+        record: bool,
+        deafen: bool,
+    ) -> std::io::Result<Clients> {
+        let (orders, inbox) = channel();
+        let poll = Poll::new()?;
+        let count = hosts.len();
+        let reach = |id: u64, v: f64| (0..(v as usize).min(count)).map(|i| (id as usize + i) % count).collect();
+        let volumes = sheet.volumes.iter();
+        let volumes = volumes.map(|(id, v)| Volume { id: *id, hosts: reach(*id, v.hosts), surge: 1.0 });
+        let most = drill.traffic.mixes.iter().map(|m| m.payload).max().unwrap_or(0);
+        let mut all = Loop {
+            poll: poll.clone(),
+            chance: WyRand::new_seed(seed),
+            noise: drill.noise,
+            traffic: drill.traffic.clone(),
+            limits: sheet.start.bands.iter().map(|b| b.time_limit).collect(),
+            again: sheet.start.bands.iter().map(|b| b.repeats == magpiewick::Repeats::Retriable).collect(),
+            volumes: volumes.collect(),
+            lines: (0..count * drill.traffic.clients).map(|_| None).collect(),
+            hosts,
+            in_hand: HashMap::new(),
+            back: HashMap::new(),
+            timers: Timers::default(),
+            dues: HashMap::new(),
+            serial: 0,
+            next_at: begin,
+            now: clock.now(),
+            ends: end,
+            records: record.then(Vec::new),
+            tally: Tally::default(),
+            payload: (0..most).map(|i| i as u8).collect(),
+            deafened: deafen.then_some(200),
+            clock,
+        };
+        let thread = std::thread::Builder::new().name("clients".to_string());
+        let thread = thread.spawn(move || {
+            all.run(&inbox);
+            (all.tally, all.records.unwrap_or_default())
+        })?;
+        Ok(Clients { orders, poll, thread })
+    }
+
+    fn order(&self, order: Order) {
+        // Clients that have ended need no orders.
+        _ = self.orders.send(order);
+        self.poll.wake();
+    }
+
+    pub fn host(&self, number: usize, host: Host) {
+        self.order(Order::Host(number, host));
+    }
+
+    pub fn surge(&self, volume: u64, times: f64) {
+        self.order(Order::Surge(volume, times));
+    }
+
+    /// Waits for the end of the traffic and of all that is in hand; none where the clients panicked.
+    pub fn finish(self) -> Option<(Tally, Vec<(Ms, Said)>)> {
+        self.thread.join().ok()
+    }
+
+    pub fn stop(&self) {
+        self.order(Order::Stop);
+    }
+}
+
+impl Loop {
+    fn run(&mut self, inbox: &Receiver<Order>) {
+        let mut woken = Woken::default();
+        (0..self.hosts.len()).for_each(|host| self.connect(host));
+        loop {
+            let next = self.timers.next_at().unwrap_or(f64::INFINITY);
+            let next = if self.next_at < self.ends { next.min(self.next_at) } else { next };
+            let wait = Clock::until(self.clock.now(), next.min(self.clock.now() + 50.0));
+            if let Err(e) = self.poll.wait(&mut woken, Some(wait)) {
+                return tracing::error!(error = %e, "the clients' poller failed");
+            }
+            self.now = self.clock.now();
+            for order in inbox.try_iter().collect::<Vec<_>>() {
+                match order {
+                    Order::Host(number, host) => {
+                        self.hosts[number] = host;
+                        let first = number * self.traffic.clients;
+                        (first..first + self.traffic.clients).for_each(|line| self.line_lost(line));
+                        self.connect(number);
+                    }
+                    Order::Surge(id, times) => {
+                        self.volumes.iter_mut().filter(|v| v.id == id).for_each(|v| v.surge = times);
+                    }
+                    Order::Stop => self.ends = self.now,
+                }
+            }
+            woken.readable.iter().for_each(|key| self.readable(*key));
+            while let Some(due) = self.timers.due(self.now).and_then(|serial| self.dues.remove(&serial)) {
+                self.due(due);
+            }
+            while self.next_at < self.ends && self.next_at <= self.now {
+                let due = self.next_at;
+                self.next_at += self.gap();
+                self.command(due);
+            }
+            for line in 0..self.lines.len() {
+                let broken = self.lines[line].as_mut().is_some_and(|l| {
+                    (l.connection.pending() > 0 || l.connection.connecting()) && l.connection.flush().is_err()
+                });
+                if broken {
+                    self.line_lost(line);
+                }
+            }
+            if self.now >= self.ends && self.in_hand.is_empty() && self.back.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        (f64::from(self.chance.generate::<u32>()) + 0.5) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    fn gap(&mut self) -> Ms {
+        let weight: f64 = self.volumes.iter().map(|v| v.surge).sum::<f64>() / self.volumes.len() as f64;
+        -self.draw().ln() * 1000.0 / (self.traffic.rate * weight)
+    }
+
+    fn say(&mut self, said: Said) {
+        let now = self.clock.now();
+        if let Some(records) = &mut self.records {
+            records.push((now, said));
+        }
+    }
+
+    fn connect(&mut self, host: usize) {
+        let Some(address) = self.hosts[host].address else { return };
+        for line in host * self.traffic.clients..(host + 1) * self.traffic.clients {
+            let Ok(mut connection) = Connection::connect(&self.poll, address, line) else { continue };
+            let (lowest, highest, role) = (VERSION, VERSION, Role::Client);
+            let hello = Hello { lowest, highest, role, number: line as u32, life: 0, age_us: LONG_AGO };
+            connection.queue(&Message::Hello(hello), NOTHING);
+            self.lines[line] = Some(Line { connection, life: None });
+        }
+    }
+
+    /// Draws a command: its volume by the surges, its host among the volume's, its band by the mix. A key always
+    /// comes through one connection to a host, so that the order sent is the order taken.
+    fn command(&mut self, due: Ms) {
+        let all: f64 = self.volumes.iter().map(|v| v.surge).sum();
+        let mut left = self.draw() * all;
+        let volume = self.volumes.iter().position(|v| {
+            left -= v.surge;
+            left < 0.0
+        });
+        let volume = volume.unwrap_or(0);
+        let shares: f64 = self.traffic.mixes.iter().map(|m| m.share).sum();
+        let mut left = self.draw() * shares;
+        let mix = self.traffic.mixes.iter().position(|m| {
+            left -= m.share;
+            left < 0.0
+        });
+        let mix = mix.unwrap_or(0);
+        let host = (self.draw() * self.volumes[volume].hosts.len() as f64) as usize;
+        let host = self.volumes[volume].hosts[host];
+        let (units, keys) = (self.traffic.mixes[mix].units, self.traffic.keys);
+        let units = 1.0 + (self.draw() * units as f64).floor();
+        let key = 1 + self.volumes[volume].id * keys + (self.draw() * keys as f64) as u64;
+        self.serial += 1;
+        let band = self.traffic.mixes[mix].band;
+        let attempt = Try {
+            number: self.serial,
+            mark: self.serial,
+            host: 0,
+            at_host: host,
+            band,
+            volume: self.volumes[volume].id,
+            key,
+            units,
+            limit: self.limits[usize::from(band)],
+            first: due,
+            later: false,
+        };
+        self.send(InHand { attempt, line: 0, host, mix, volume });
+    }
+
+    fn send(&mut self, mut c: InHand) {
+        let line = c.host * self.traffic.clients + c.attempt.key as usize % self.traffic.clients;
+        let Some((l, life)) = self.lines[line].as_mut().and_then(|l| l.life.map(|life| (l, life))) else {
+            return;
+        };
+        (c.line, c.attempt.host, c.attempt.at_host) = (line, life, c.host);
+        let t = c.attempt;
+        let mix = &self.traffic.mixes[c.mix];
+        l.connection.queue(
+            &Message::Take(Take {
+                command: t.number,
+                band: t.band,
+                write: mix.write,
+                volume: t.volume,
+                key: t.key,
+                mark: t.mark,
+                units: t.units as f32,
+                limit_us: (t.limit * 1000.0) as u32,
+                payload: if mix.write { &self.payload[..mix.payload] } else { &[] },
+            }),
+            NOTHING,
+        );
+        // Written at once: the record must not be older than what the host can see.
+        if l.connection.flush().is_err() {
+            return self.line_lost(line);
+        }
+        self.tally.taken += 1;
+        self.say(Said::Took(t));
+        self.set(self.now + t.limit + self.noise, Due::GiveUp(t.number));
+        self.in_hand.insert(t.number, c);
+    }
+
+    fn set(&mut self, at: Ms, due: Due) {
+        self.serial += 1;
+        self.dues.insert(self.serial, due);
+        self.timers.set(at, self.serial);
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::GiveUp(number) => {
+                let Some(c) = self.in_hand.remove(&number) else { return };
+                self.tally.gave_up += 1;
+                self.say(Said::GaveUp { number });
+                if let Some(line) = &mut self.lines[c.line] {
+                    line.connection.queue(&Message::GiveUp { command: number }, NOTHING);
+                }
+            }
+            Due::Again(number) => {
+                if let Some(c) = self.back.remove(&number) {
+                    self.send(c);
+                }
+            }
+        }
+    }
+
+    fn readable(&mut self, line: usize) {
+        let Some(l) = &mut self.lines[line] else { return };
+        let mut ended = l.connection.fill().is_err();
+        let (input, mut used) = (l.connection.take_input(), 0);
+        loop {
+            match wire::read(&input[used..]) {
+                Ok(Read::Partial) => break,
+                Ok(Read::Skip(n)) => used += n,
+                Ok(Read::Whole(message, n)) => {
+                    used += n;
+                    match message {
+                        Message::Hello(hello) => {
+                            if let Some(l) = &mut self.lines[line] {
+                                l.life = Some(hello.life);
+                            }
+                        }
+                        Message::Final(f) => self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0),
+                        _ => ended = true,
+                    }
+                }
+                Err(_) => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
+        if let Some(l) = &mut self.lines[line] {
+            l.connection.give_back(input, used);
+        }
+        if ended {
+            self.line_lost(line);
+        }
+    }
+
+    fn answered(&mut self, number: u64, verdict: Verdict, back: Ms) {
+        if self.deafened.is_some_and(|from| number >= from) {
+            self.deafened = None;
+            return;
+        }
+        self.say(Said::Answered { number, verdict, back });
+        let Some(c) = self.in_hand.remove(&number) else { return };
+        match verdict {
+            Verdict::Settled => {
+                self.tally.settled += 1;
+                let took = ((self.now - c.attempt.first) * 1000.0).max(1.0) as u64;
+                self.tally.latency.saturating_record(took);
+            }
+            Verdict::Bounced => self.tally.bounced += 1,
+            Verdict::Scrapped => self.tally.scrapped += 1,
+        }
+        if verdict == Verdict::Bounced && back > 0.0 && self.traffic.retries && !c.attempt.later {
+            self.come_back(c, back);
+        }
+    }
+
+    /// A later try, after a wait, within what is left of the client's time.
+    fn come_back(&mut self, mut c: InHand, wait: Ms) {
+        let left = c.attempt.first + self.limits[usize::from(c.attempt.band)] - self.now - wait;
+        if left < 50.0 || self.now >= self.ends {
+            return;
+        }
+        self.serial += 1;
+        c.attempt = Try { number: self.serial, limit: left, later: true, ..c.attempt };
+        self.set(self.now + wait, Due::Again(c.attempt.number));
+        self.back.insert(c.attempt.number, c);
+    }
+
+    /// A connection ended: what was in hand on it is the clients' to repeat, where that can do no harm.
+    fn line_lost(&mut self, line: usize) {
+        if self.lines[line].take().is_none() {
+            return;
+        }
+        let mut lost: Vec<u64> = self.in_hand.iter().filter(|(_, c)| c.line == line).map(|(n, _)| *n).collect();
+        lost.sort_unstable();
+        for number in lost {
+            let Some(mut c) = self.in_hand.remove(&number) else { continue };
+            self.tally.lost += 1;
+            self.say(Said::Lost { number });
+            let hosts = &self.volumes[c.volume].hosts;
+            let next = hosts.iter().position(|h| *h == c.host).map_or(0, |i| (i + 1) % hosts.len());
+            c.host = hosts[next];
+            if self.again[usize::from(c.attempt.band)] && !c.attempt.later && self.traffic.retries {
+                self.come_back(c, 0.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/sheet.rs
@@ -0,0 +1,86 @@
+//! What a drill or a load is told.
+
+use magpiewick_gateway::sheet::HostSheet;
+use magpiewick_settings::Part;
+use magpiewick_standin::{read_troubles, Trouble};
+
+type Ms = f64;
+
+/// The traffic of one band.
+#[derive(Clone, Debug)]
+pub struct Mix {
+    pub band: u16,
+    pub share: f64,
+    pub write: bool,
+    /// Commands ask 1 to so many units.
+    pub units: u64,
+    pub payload: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    /// Commands a second over all hosts.
+    pub rate: f64,
+    /// Connections to each host.
+    pub clients: usize,
+    /// Pieces of data in each volume.
+    pub keys: u64,
+    /// Whether a bounced client comes back once, when it was told to.
+    pub retries: bool,
+    pub mixes: Vec<Mix>,
+}
+
+#[derive(Clone, Debug)]
+pub struct DrillSheet {
+    pub time: Ms,
+    /// How late something may still be sent to a node that is known to drain.
+    pub drain_within: Ms,
+    /// By how much what two threads of one machine saw may lie apart.
+    pub noise: Ms,
+    pub traffic: Traffic,
+    pub troubles: Vec<Trouble>,
+}
+
+/// Reads the blocks `drill`, `traffic` and `trouble` of a file, where it has a `traffic` block.
+pub fn read(root: &Part, host: &HostSheet) -> Option<DrillSheet> {
+    let troubles = read_troubles(root);
+    let drill = root.part("drill");
+    let traffic = root.part("traffic");
+    let number = |name, absent| drill.as_ref().map_or(absent, |p: &Part| p.field(name).time_or(absent));
+    let (time, drain_within, noise) =
+        (number("time", 10_000.0), number("drain_within", 250.0), number("noise", 60.0));
+    let traffic = traffic.map(|p| read_traffic(&p, host));
+    if traffic.is_none() && drill.is_some() {
+        root.fault("the block traffic is missing; a drill needs clients");
+    }
+    Some(DrillSheet { time, drain_within, noise, traffic: traffic?, troubles })
+}
+
+fn read_traffic(p: &Part, host: &HostSheet) -> Traffic {
+    let bands: Vec<(&str, u16)> = host.bands.iter().map(String::as_str).zip(0..).collect();
+    let mixes = p.labelled("mix");
+    let mixes = mixes.iter().filter_map(|m| {
+        let band = bands.iter().find(|(name, _)| *name == m.label());
+        if band.is_none() {
+            m.fault(format!("a mix of the unknown band {:?}", m.label()));
+        }
+        Some(Mix {
+            share: m.field("share").number(),
+            write: m.field("write").flag_or(false),
+            units: m.field("units").whole_or(1..=host.start.most_units.max(1.0) as u64, 1),
+            payload: m.field("payload").whole_or(0..=1 << 20, 64) as usize,
+            band: band?.1,
+        })
+    });
+    let mixes: Vec<Mix> = mixes.collect();
+    if mixes.iter().map(|m| m.share).sum::<f64>() <= 0.0 {
+        p.fault("no mix with a share; expected at least one block mix \"band\"");
+    }
+    Traffic {
+        rate: p.field("rate").number(),
+        clients: p.field("clients").whole_or(1..=10_000, 4) as usize,
+        keys: p.field("keys").whole_or(1..=1_000_000, 100),
+        retries: p.field("retries").flag_or(true),
+        mixes,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/contact.rs
@@ -0,0 +1,255 @@
+//! Decides about the connection to one node, and about coming back to a service: whether to use a connection,
+//! open one, or put a fresh one in its place, and whose process it is that answers. Free of I/O.
+//!
+//! The module decides whether and when a node is tried; this only keeps a try from dying on a connection
+//! that is dead, or from reaching another process than the one that it was meant for.
+
+use magpiewick::Ms;
+use nanorand::{Rng, WyRand};
+
+/// Waits before a service that pushes is connected to again: the first, doubled up to the last.
+const FIRST_WAIT: Ms = 50.0;
+const LAST_WAIT: Ms = 2000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Apart,
+    /// From the first step to connect until the node's greeting.
+    Opening,
+    Open,
+}
+
+/// What to do for a hand-off that is to leave now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dial {
+    Use,
+    Wait,
+    Open,
+    /// Give the old connection up first: nothing is out on it, and it has gone deaf.
+    Afresh,
+}
+
+/// What a greeting shows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Greeted {
+    /// The process that the list names.
+    Expected,
+    /// A process that started later than the one that the list names: the node restarted, and the list is late.
+    /// What waits was meant for the old one and must be decided anew.
+    Restarted { started: Option<Ms> },
+    /// Another node, or a process that started before the one that the list names.
+    Wrong,
+}
+
+/// A process as the list or a greeting names it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Process {
+    pub node: u32,
+    pub life: u64,
+    /// On this host's clock; none: long ago.
+    pub started: Option<Ms>,
+}
+
+/// The contact with one node.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    stage: Stage,
+    out: u32,
+    heard: Ms,
+    deaf: bool,
+}
+
+impl Default for Contact {
+    fn default() -> Contact {
+        Contact { stage: Stage::Apart, out: 0, heard: f64::NEG_INFINITY, deaf: false }
+    }
+}
+
+impl Contact {
+    pub fn open(&self) -> bool {
+        self.stage == Stage::Open
+    }
+
+    pub fn opening(&self) -> bool {
+        self.stage == Stage::Opening
+    }
+
+    /// Hand-offs out on the connection.
+    pub fn out(&self) -> u32 {
+        self.out
+    }
+
+    /// Guards against connections whose other end went without a word, whatever took it: a fresh one is
+    /// opened where the last hand-off met silence and no other could be hurt. It could harm where a node
+    /// that merely stands still is greeted again for each try: one small exchange.
+    pub fn dial(&self) -> Dial {
+        match self.stage {
+            Stage::Apart => Dial::Open,
+            Stage::Opening => Dial::Wait,
+            Stage::Open if self.deaf && self.out == 0 => Dial::Afresh,
+            Stage::Open => Dial::Use,
+        }
+    }
+
+    pub fn opened(&mut self) {
+        *self = Contact { stage: Stage::Opening, ..Contact::default() };
+    }
+
+    pub fn ended(&mut self) {
+        *self = Contact::default();
+    }
+
+    pub fn greeted(&mut self, now: Ms, listed: Process, met: Process) -> Greeted {
+        let later = match (listed.started, met.started) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(listed), Some(met)) => met > listed,
+        };
+        if listed.node != met.node || (listed.life != met.life && !later) {
+            return Greeted::Wrong;
+        }
+        (self.stage, self.heard) = (Stage::Open, now);
+        if listed.life == met.life {
+            return Greeted::Expected;
+        }
+        Greeted::Restarted { started: met.started }
+    }
+
+    pub fn sent(&mut self) {
+        self.out += 1;
+    }
+
+    pub fn heard(&mut self, now: Ms) {
+        (self.heard, self.deaf) = (now, false);
+    }
+
+    /// A hand-off ended; `unanswered` tells when it was sent, where no answer came for it.
+    pub fn done(&mut self, unanswered: Option<Ms>) {
+        self.out = self.out.saturating_sub(1);
+        self.deaf |= unanswered.is_some_and(|sent| self.heard <= sent);
+    }
+}
+
+/// When to come back to a service that pushes: with doubling waits, spread so that hosts do not come together.
+pub struct Return {
+    wait: Ms,
+    chance: WyRand,
+}
+
+impl Return {
+    pub fn new(seed: u64) -> Return {
+        Return { wait: FIRST_WAIT, chance: WyRand::new_seed(seed) }
+    }
+
+    pub fn failed(&mut self, now: Ms) -> Ms {
+        let spread = 0.5 + f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
+        let at = now + self.wait * spread;
+        self.wait = (self.wait * 2.0).min(LAST_WAIT);
+        at
+    }
+
+    pub fn succeeded(&mut self) {
+        self.wait = FIRST_WAIT;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    fn process(life: u64, started: Option<Ms>) -> Process {
+        Process { node: 4, life, started }
+    }
+
+    fn open(now: Ms) -> Contact {
+        let mut contact = Contact::default();
+        assert_eq!(contact.dial(), Dial::Open);
+        contact.opened();
+        assert_eq!(contact.dial(), Dial::Wait);
+        assert_eq!(contact.greeted(now, process(1, None), process(1, None)), Greeted::Expected);
+        contact
+    }
+
+    #[test]
+    fn a_connection_that_met_silence_is_replaced_once_nothing_is_out() {
+        let mut contact = open(10.0);
+        contact.sent();
+        contact.sent();
+        contact.done(Some(20.0));
+        assert_eq!(contact.dial(), Dial::Use, "another hand-off is out");
+        contact.done(Some(21.0));
+        assert_eq!(contact.dial(), Dial::Afresh);
+    }
+
+    #[test]
+    fn a_lost_answer_on_a_connection_that_speaks_changes_nothing() {
+        let mut contact = open(10.0);
+        contact.sent();
+        contact.sent();
+        contact.heard(30.0);
+        contact.done(None);
+        contact.done(Some(20.0));
+        assert_eq!(contact.dial(), Dial::Use);
+    }
+
+    #[test]
+    fn only_the_listed_process_or_a_later_one_is_spoken_to() {
+        let greet = |listed, met| Contact::default().greeted(50.0, listed, met);
+        let (old, new) = (process(1, Some(5.0)), process(2, Some(40.0)));
+        assert_eq!(greet(old, old), Greeted::Expected);
+        assert_eq!(greet(old, new), Greeted::Restarted { started: Some(40.0) });
+        assert_eq!(greet(process(1, None), new), Greeted::Restarted { started: Some(40.0) });
+        assert_eq!(greet(new, old), Greeted::Wrong);
+        assert_eq!(greet(new, process(1, None)), Greeted::Wrong);
+        assert_eq!(greet(old, Process { node: 5, ..old }), Greeted::Wrong);
+    }
+
+    quickcheck! {
+        /// A plain model: a connection is given up only where nothing is out on it and the last word on it is
+        /// older than a hand-off that met silence.
+        fn a_fresh_connection_never_hurts_a_hand_off(steps: Vec<(u8, u8)>) -> bool {
+            let (mut contact, mut now) = (open(0.0), 0.0);
+            let (mut out, mut heard, mut missed): (Vec<Ms>, Ms, Option<Ms>) = (Vec::new(), 0.0, None);
+            for (step, time) in steps {
+                now += f64::from(time);
+                match step % 4 {
+                    0 => {
+                        contact.sent();
+                        out.push(now);
+                    }
+                    1 if !out.is_empty() => {
+                        contact.heard(now);
+                        contact.done(None);
+                        (heard, missed) = (now, None);
+                        out.remove(0);
+                    }
+                    2 if !out.is_empty() => {
+                        let sent = out.remove(0);
+                        contact.done(Some(sent));
+                        if sent >= heard {
+                            missed = Some(sent);
+                        }
+                    }
+                    3 => {
+                        contact.heard(now);
+                        (heard, missed) = (now, None);
+                    }
+                    _ => {}
+                }
+                let fresh = out.is_empty() && missed.is_some();
+                if (contact.dial() == Dial::Afresh) != fresh {
+                    return false;
+                }
+            }
+            true
+        }
+
+        fn waits_grow_stay_bounded_and_start_anew(seed: u64, fails: u8) -> bool {
+            let mut back = Return::new(seed);
+            let waits: Vec<Ms> = (0..fails).map(|_| back.failed(0.0)).collect();
+            back.succeeded();
+            waits.iter().all(|w| *w <= 1.5 * LAST_WAIT) && back.failed(0.0) <= 1.5 * FIRST_WAIT
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/floor.rs
@@ -0,0 +1,741 @@
+//! What the desk stands on: the connections of a host, the commands as its clients sent them, and the timers.
+//! It does what the desk wishes and turns what sockets tell into outcomes.
+
+use crate::contact::{Contact, Dial, Greeted, Process, Return};
+use crate::follow::{address, started, Follower};
+use crate::sheet::{Bounds, HostSheet};
+use magpiewick::{Ending, Ms, Outcome};
+use magpiewick_desk::{Reason, World};
+use magpiewick_link::{Clock, Connection, Ended, Poll, Timers, NOTHING};
+use magpiewick_nodewire::{Final, HandOff, Hello, Message, Role, State, Take, Verdict, LONG_AGO, VERSION};
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use tracing::Span;
+
+/// Whose readiness a key of the poller tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    Door,
+    Stop,
+    Client,
+    Node,
+    List,
+}
+
+const PLACES: [Place; 5] = [Place::Door, Place::Stop, Place::Client, Place::Node, Place::List];
+/// Bits of a key below its place, and bits of a command's id that name its slot.
+const INDEX: u32 = 32;
+const SLOT: u32 = 24;
+
+pub fn key_of(place: Place, index: usize) -> usize {
+    (place as usize) << INDEX | index
+}
+
+pub fn place_of(key: usize) -> Place {
+    PLACES[(key >> INDEX) % PLACES.len()]
+}
+
+fn index_of(key: usize) -> usize {
+    key & ((1 << INDEX) - 1)
+}
+
+fn slot_of(command: u64) -> usize {
+    (command & ((1 << SLOT) - 1)) as usize
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    TimeOut { command: u64, hand_off: u32 },
+    Connect { peer: usize, try_number: u64 },
+    HalfFrame { client: usize, serial: u64 },
+    ListAgain,
+}
+
+/// A hand-off whose outcome is owed to the desk. `peer` is none once its connection is over.
+struct Out {
+    hand_off: u32,
+    peer: Option<usize>,
+    sent: Ms,
+}
+
+/// A command as its client sent it, kept until its final answer is given and nothing of it is out.
+struct Open {
+    id: u64,
+    /// The client's key and its own number; none once the client has gone or gave up.
+    client: Option<(usize, u64)>,
+    answered: bool,
+    taken: Ms,
+    ends: Ms,
+    band: u16,
+    write: bool,
+    volume: u64,
+    key: u64,
+    mark: u64,
+    units: f32,
+    shard: u32,
+    payload: Vec<u8>,
+    out: Vec<Out>,
+    hand_offs: u32,
+    last_node: Option<u32>,
+    span: Span,
+}
+
+struct Client {
+    connection: Connection,
+    commands: HashMap<u64, u64>,
+    /// Since when nothing is read from it.
+    held_back: Option<Ms>,
+    half_frame: bool,
+    serial: u64,
+}
+
+/// A storage node and the one connection to it.
+struct Peer {
+    node: u32,
+    address: SocketAddr,
+    contact: Contact,
+    connection: Option<Connection>,
+    /// The life of the process that greeted on this connection.
+    life: Option<u64>,
+    /// Hand-offs that wait for the greeting, and commands whose hand-off went out on the connection.
+    waiting: Vec<(u64, u32)>,
+    out: Vec<u64>,
+    tries: u64,
+}
+
+struct ListLink {
+    address: SocketAddr,
+    asked: bool,
+    connection: Option<Connection>,
+    back: Return,
+}
+
+pub struct Floor {
+    pub clock: Clock,
+    pub poll: Poll,
+    pub timers: Timers<Timer>,
+    pub wake_at: Ms,
+    /// What counts for the loop's present turn.
+    pub now: Ms,
+    /// Outcomes that the desk has yet to hear.
+    pub owed: VecDeque<(u64, u32, Outcome)>,
+    /// A call of the list that failed and that the desk has yet to hear of.
+    pub list_failed: bool,
+    pub follower: Follower,
+    number: u32,
+    life: u64,
+    bounds: Bounds,
+    peers: Vec<Peer>,
+    peer_of: HashMap<u32, usize>,
+    clients: Slab<Client>,
+    opens: Slab<Open>,
+    serial: u64,
+    list: ListLink,
+    touched: Vec<usize>,
+}
+
+impl Floor {
+    pub fn new(sheet: &HostSheet, poll: Poll, clock: Clock, life: u64) -> Floor {
+        let back = Return::new(sheet.start.seed);
+        let (address, asked) = (sheet.list.address, sheet.list.asked);
+        Floor {
+            now: clock.now(),
+            clock,
+            poll,
+            timers: Timers::default(),
+            wake_at: 0.0,
+            owed: VecDeque::new(),
+            list_failed: false,
+            follower: Follower::default(),
+            number: sheet.number,
+            life,
+            bounds: sheet.bounds.clone(),
+            peers: Vec::new(),
+            peer_of: HashMap::new(),
+            clients: Slab::new(),
+            opens: Slab::new(),
+            serial: 0,
+            list: ListLink { address, asked, connection: None, back },
+            touched: Vec::new(),
+        }
+    }
+
+    fn hello(&self) -> Message<'static> {
+        let (lowest, highest, role, number) = (VERSION, VERSION, Role::Host, self.number);
+        Message::Hello(Hello { lowest, highest, role, number, life: self.life, age_us: LONG_AGO })
+    }
+
+    /// Notes that a connection has something to write.
+    pub fn touched(&mut self, key: usize) {
+        self.touched.push(key);
+    }
+
+    /// The connections with something to write, each once.
+    pub fn take_touched(&mut self) -> Vec<usize> {
+        let mut keys = std::mem::take(&mut self.touched);
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
+
+    pub fn has_touched(&self) -> bool {
+        !self.touched.is_empty()
+    }
+
+    fn connection(&mut self, key: usize) -> Option<&mut Connection> {
+        let index = index_of(key);
+        match place_of(key) {
+            Place::Client => self.clients.get_mut(index).map(|c| &mut c.connection),
+            Place::Node => self.peers.get_mut(index).and_then(|p| p.connection.as_mut()),
+            Place::List => self.list.connection.as_mut(),
+            Place::Door | Place::Stop => None,
+        }
+    }
+
+    /// Reads what is there on a connection; the bytes, and why the connection is over where it is.
+    pub fn read(&mut self, key: usize) -> Option<(Vec<u8>, Option<Ended>)> {
+        let connection = self.connection(key)?;
+        let ended = connection.fill().err();
+        Some((connection.take_input(), ended))
+    }
+
+    /// The bytes that were read before and not used.
+    pub fn unused(&mut self, key: usize) -> Option<Vec<u8>> {
+        self.connection(key).map(Connection::take_input)
+    }
+
+    pub fn give_back(&mut self, key: usize, input: Vec<u8>, used: usize) {
+        if let Some(connection) = self.connection(key) {
+            connection.give_back(input, used);
+        }
+    }
+
+    pub fn flush(&mut self, key: usize) -> Result<(), Ended> {
+        let Some(connection) = self.connection(key) else { return Ok(()) };
+        connection.flush()?;
+        self.bound_client(key)
+    }
+
+    // Clients.
+
+    pub fn accepted(&mut self, stream: TcpStream) {
+        if self.clients.len() >= self.bounds.most_clients {
+            return tracing::warn!(most = self.bounds.most_clients, "a client is turned away: too many");
+        }
+        let entry = self.clients.vacant_entry();
+        let key = key_of(Place::Client, entry.key());
+        let connection = match Connection::accepted(&self.poll, stream, key) {
+            Ok(connection) => connection,
+            Err(e) => return tracing::warn!(error = %e, "a client cannot be served"),
+        };
+        entry.insert(Client {
+            connection,
+            commands: HashMap::new(),
+            held_back: None,
+            half_frame: false,
+            serial: 0,
+        });
+        let hello = self.hello();
+        self.to_client(key, &hello);
+    }
+
+    pub fn to_client(&mut self, key: usize, message: &Message) {
+        if let Some(client) = self.clients.get_mut(index_of(key)) {
+            client.connection.queue(message, NOTHING);
+            self.touched.push(key);
+        }
+    }
+
+    pub fn client_keys(&self) -> Vec<usize> {
+        self.clients.iter().map(|(index, _)| key_of(Place::Client, index)).collect()
+    }
+
+    /// A client that does not read its answers is not read either, until it does: what is kept for it is
+    /// bounded by what it had in hand.
+    fn bound_client(&mut self, key: usize) -> Result<(), Ended> {
+        let Some(client) = self.clients.get_mut(index_of(key)).filter(|_| place_of(key) == Place::Client)
+        else {
+            return Ok(());
+        };
+        let pending = client.connection.pending();
+        if client.held_back.is_none() && pending > self.bounds.client_buffer {
+            client.held_back = Some(self.now);
+            client.connection.set_reading(false)?;
+        }
+        Ok(())
+    }
+
+    /// Holds all clients back, as enough is in hand.
+    pub fn hold_back_all(&mut self) {
+        for (_, client) in self.clients.iter_mut().filter(|(_, c)| c.held_back.is_none()) {
+            client.held_back = Some(self.now);
+            // A connection that cannot be held back is broken and ends at its next read.
+            _ = client.connection.set_reading(false);
+        }
+    }
+
+    /// Whether a client that was held back may be read again; it is then, once its commands are taken.
+    pub fn may_read_on(&self, key: usize) -> bool {
+        let client = self.clients.get(index_of(key)).filter(|c| c.held_back.is_some());
+        client.is_some_and(|c| c.connection.pending() <= self.bounds.client_buffer / 2)
+    }
+
+    pub fn read_on(&mut self, key: usize) {
+        if let Some(client) = self.clients.get_mut(index_of(key)) {
+            client.held_back = None;
+            _ = client.connection.set_reading(true);
+        }
+    }
+
+    /// How long a client has been held back: what it sent may have waited as long.
+    pub fn held_back(&self, key: usize) -> Ms {
+        let client = self.clients.get(index_of(key));
+        client.and_then(|c| c.held_back).map_or(0.0, |since| self.now - since)
+    }
+
+    /// Notes whether a client's bytes end in half a frame, and whether frames were used since the last note.
+    pub fn half_frame(&mut self, key: usize, half: bool, progress: bool) {
+        let Some(client) = self.clients.get_mut(index_of(key)) else { return };
+        if !half || progress {
+            (client.half_frame, client.serial) = (false, client.serial + 1);
+        }
+        if half && !client.half_frame {
+            client.half_frame = true;
+            let timer = Timer::HalfFrame { client: key, serial: client.serial };
+            self.timers.set(self.now + self.bounds.frame_within, timer);
+        }
+    }
+
+    pub fn half_frame_late(&self, key: usize, serial: u64) -> bool {
+        let client = self.clients.get(index_of(key));
+        client.is_some_and(|c| c.half_frame && c.serial == serial && c.held_back.is_none())
+    }
+
+    /// Forgets a client; its commands that had no final answer come back.
+    pub fn client_gone(&mut self, key: usize) -> Vec<u64> {
+        let Some(client) = self.clients.try_remove(index_of(key)) else { return Vec::new() };
+        let mut commands: Vec<u64> = client.commands.into_values().collect();
+        commands.sort_unstable();
+        commands.iter().for_each(|command| self.forsake(*command, "client-gone"));
+        commands
+    }
+
+    /// The command that a client gives up, where it is still in hand.
+    pub fn given_up(&mut self, key: usize, number: u64) -> Option<u64> {
+        let command = self.clients.get_mut(index_of(key))?.commands.remove(&number)?;
+        self.forsake(command, "given-up");
+        Some(command)
+    }
+
+    fn forsake(&mut self, command: u64, why: &str) {
+        if let Some(open) = self.open(command).filter(|o| !o.answered) {
+            (open.client, open.answered) = (None, true);
+            open.tell("none", why);
+        }
+    }
+
+    pub fn has_command(&self, key: usize, number: u64) -> bool {
+        self.clients.get(index_of(key)).is_some_and(|c| c.commands.contains_key(&number))
+    }
+
+    /// Keeps a command as its client sent it and gives it an id that was never used.
+    pub fn take(
+        &mut self,
+        key: usize,
+        take: &Take,
+        shard: Option<usize>,
+        time_limit: Ms,
+        span: Span,
+    ) -> Option<u64> {
+        let client = self.clients.get_mut(index_of(key))?;
+        let entry = self.opens.vacant_entry();
+        self.serial += 1;
+        let id = self.serial << SLOT | entry.key() as u64;
+        client.commands.insert(take.command, id);
+        entry.insert(Open {
+            id,
+            client: Some((key, take.command)),
+            answered: false,
+            taken: self.now,
+            ends: self.now + time_limit,
+            band: take.band,
+            write: take.write,
+            volume: take.volume,
+            key: take.key,
+            mark: take.mark,
+            units: take.units,
+            shard: shard.map_or(u32::MAX, |s| s as u32),
+            payload: take.payload.to_vec(),
+            out: Vec::new(),
+            hand_offs: 0,
+            last_node: None,
+            span,
+        });
+        Some(id)
+    }
+
+    fn open(&mut self, command: u64) -> Option<&mut Open> {
+        self.opens.get_mut(slot_of(command)).filter(|o| o.id == command)
+    }
+
+    /// Passes the first settled answer on to the client.
+    pub fn settled(&mut self, command: u64, payload: &[u8]) {
+        self.finish(command, Verdict::Settled, 0.0, payload, "settled");
+    }
+
+    fn finish(&mut self, command: u64, verdict: Verdict, back: Ms, payload: &[u8], reason: &str) {
+        let now = self.now;
+        let Some(open) = self.open(command).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        let answer = match verdict {
+            Verdict::Settled => "settled",
+            Verdict::Bounced => "bounced",
+            Verdict::Scrapped => "scrapped",
+        };
+        open.span.in_scope(|| {
+            let (hand_offs, node, took) = (open.hand_offs, open.last_node, now - open.taken);
+            tracing::info!(target: "command", answer, reason, hand_offs, node, took_ms = took);
+        });
+        let Some((key, number)) = open.client.take() else { return };
+        let back_us = (back * 1000.0) as u32;
+        if let Some(client) = self.clients.get_mut(index_of(key)) {
+            client.commands.remove(&number);
+        }
+        self.to_client(key, &Message::Final(Final { command: number, verdict, back_us, payload }));
+    }
+
+    /// Forgets a command that is answered and of which nothing is out.
+    pub fn release(&mut self, command: u64) {
+        if self.open(command).is_some_and(|o| o.answered && o.out.is_empty()) {
+            self.opens.remove(slot_of(command));
+        }
+    }
+
+    // Hand-offs.
+
+    pub fn is_out(&mut self, command: u64, hand_off: u32) -> bool {
+        self.open(command).is_some_and(|o| o.out.iter().any(|out| out.hand_off == hand_off))
+    }
+
+    pub fn is_out_at(&mut self, command: u64, hand_off: u32, key: usize) -> bool {
+        let at = Some(index_of(key));
+        let here = |out: &Out| out.hand_off == hand_off && out.peer == at;
+        self.open(command).is_some_and(|o| o.out.iter().any(here))
+    }
+
+    /// Takes a hand-off off the books; when it was sent, where it still stood there.
+    pub fn end_hand_off(&mut self, command: u64, hand_off: u32, answered: bool) -> Option<Ms> {
+        let open = self.open(command)?;
+        let place = open.out.iter().position(|o| o.hand_off == hand_off)?;
+        let out = open.out.remove(place);
+        if let Some(peer) = out.peer.map(|p| &mut self.peers[p]) {
+            let waited = peer.waiting.len();
+            peer.waiting.retain(|w| *w != (command, hand_off));
+            if waited == peer.waiting.len() {
+                peer.out.retain(|id| *id != command);
+                peer.contact.done((!answered).then_some(out.sent));
+            }
+        }
+        Some(out.sent)
+    }
+
+    /// Tells a node that a hand-off is not waited for any more, so that it need not begin it.
+    pub fn tell_cancelled(&mut self, command: u64, hand_off: u32) {
+        let at = |o: &Open| o.out.iter().find(|out| out.hand_off == hand_off).and_then(|out| out.peer);
+        let Some(index) = self.open(command).and_then(|o| at(o)) else { return };
+        let peer = &mut self.peers[index];
+        if let Some(connection) = peer.connection.as_mut().filter(|_| peer.out.contains(&command)) {
+            connection.queue(&Message::Cancel { command, hand_off: hand_off as u16 }, NOTHING);
+            self.touched.push(key_of(Place::Node, index));
+        }
+    }
+
+    fn owe(&mut self, command: u64, outcome: Outcome, peer: usize) {
+        let Some(open) = self.open(command) else { return };
+        for out in open.out.iter_mut().filter(|o| o.peer == Some(peer)) {
+            out.peer = None;
+            let hand_off = out.hand_off;
+            self.owed.push_back((command, hand_off, outcome));
+            return;
+        }
+    }
+
+    // Storage nodes.
+
+    fn peer(&mut self, node: u32) -> usize {
+        let known = self.follower.node(node).map(|k| address(&k.line));
+        let next = self.peers.len();
+        let index = *self.peer_of.entry(node).or_insert(next);
+        if index == next {
+            self.peers.push(Peer {
+                node,
+                address: known.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
+                contact: Contact::default(),
+                connection: None,
+                life: None,
+                waiting: Vec::new(),
+                out: Vec::new(),
+                tries: 0,
+            });
+        }
+        let peer = &mut self.peers[index];
+        peer.address = known.unwrap_or(peer.address);
+        index
+    }
+
+    fn connect(&mut self, index: usize) {
+        let hello = self.hello();
+        let peer = &mut self.peers[index];
+        peer.tries += 1;
+        peer.contact.opened();
+        let key = key_of(Place::Node, index);
+        match Connection::connect(&self.poll, peer.address, key) {
+            Ok(mut connection) => {
+                connection.queue(&hello, NOTHING);
+                peer.connection = Some(connection);
+                let timer = Timer::Connect { peer: index, try_number: peer.tries };
+                self.timers.set(self.now + self.bounds.connect_within, timer);
+                self.touched.push(key);
+            }
+            Err(e) => self.peer_lost(key, &e.to_string()),
+        }
+    }
+
+    pub fn connect_late(&mut self, index: usize, try_number: u64) {
+        if self.peers[index].tries == try_number && self.peers[index].contact.opening() {
+            self.peer_lost(key_of(Place::Node, index), "no greeting in time");
+        }
+    }
+
+    /// The connection to a node is over. What had not left whole, or waited, never ran: a frame that is not
+    /// whole fails its checksum. What had left may have run.
+    pub fn peer_lost(&mut self, key: usize, why: &str) {
+        let index = index_of(key);
+        let peer = &mut self.peers[index];
+        let unsent = peer.connection.take().map_or(Vec::new(), |c| c.never_left());
+        tracing::info!(node = peer.node, why, out = peer.out.len(), "connection to a node is over");
+        (peer.life, peer.contact) = (None, Contact::default());
+        for command in std::mem::take(&mut peer.out) {
+            let ran = if unsent.contains(&command) { Outcome::NoConnection } else { Outcome::Reset };
+            self.owe(command, ran, index);
+        }
+        self.waiting_back(index);
+    }
+
+    /// What waits for a greeting was not sent: the desk is told so.
+    fn waiting_back(&mut self, index: usize) {
+        for (command, _) in std::mem::take(&mut self.peers[index].waiting) {
+            self.owe(command, Outcome::NoConnection, index);
+        }
+    }
+
+    /// Notes that a node spoke; false where it has not greeted.
+    pub fn peer_heard(&mut self, key: usize) -> bool {
+        let now = self.now;
+        let peer = &mut self.peers[index_of(key)];
+        peer.contact.heard(now);
+        peer.contact.open()
+    }
+
+    pub fn greeted(&mut self, key: usize, hello: &Hello) -> Greeted {
+        let index = index_of(key);
+        let met =
+            Process { node: hello.number, life: hello.life, started: started(self.now, hello.age_us) };
+        let Some(listed) = self.follower.process(self.peers[index].node) else { return Greeted::Wrong };
+        let peer = &mut self.peers[index];
+        let greeted = peer.contact.greeted(self.now, listed, met);
+        match greeted {
+            Greeted::Expected => {
+                peer.life = Some(hello.life);
+                for (command, hand_off) in std::mem::take(&mut peer.waiting) {
+                    self.hand_over(index, command, hand_off);
+                }
+            }
+            Greeted::Restarted { .. } => {
+                peer.life = Some(hello.life);
+                self.waiting_back(index);
+            }
+            Greeted::Wrong => {}
+        }
+        greeted
+    }
+
+    fn hand_over(&mut self, index: usize, command: u64, hand_off: u32) {
+        let now = self.now;
+        let Some(open) = self.opens.get(slot_of(command)).filter(|o| o.id == command) else { return };
+        let peer = &mut self.peers[index];
+        let Some(connection) = &mut peer.connection else { return };
+        let message = Message::HandOff(HandOff {
+            command,
+            hand_off: hand_off as u16,
+            band: open.band,
+            write: open.write,
+            volume: open.volume,
+            key: open.key,
+            mark: open.mark,
+            units: open.units,
+            shard: open.shard,
+            left_us: ((open.ends - now).max(0.0) * 1000.0) as u32,
+            payload: &open.payload,
+        });
+        connection.queue(&message, command);
+        peer.out.push(command);
+        peer.contact.sent();
+        self.touched.push(key_of(Place::Node, index));
+    }
+
+    /// Brings the peers in line with the list: to a node that drains or went nothing leaves that has not yet,
+    /// and a connection to a process that is no longer the listed one ends.
+    pub fn nodes_changed(&mut self) {
+        let nodes: Vec<u32> = self.follower.nodes().map(|k| k.line.node).collect();
+        nodes.into_iter().for_each(|node| _ = self.peer(node));
+        for index in 0..self.peers.len() {
+            let peer = &self.peers[index];
+            let known = self.follower.node(peer.node).map(|k| (k.line.state, k.line.life));
+            let key = key_of(Place::Node, index);
+            match known {
+                Some((State::Ready, life)) if peer.life.is_none_or(|l| l == life) => {}
+                Some((State::Ready, _)) => self.peer_lost(key, "the list names a later process"),
+                _ => self.stop_sending(index),
+            }
+        }
+    }
+
+    fn stop_sending(&mut self, index: usize) {
+        self.waiting_back(index);
+        let peer = &mut self.peers[index];
+        let Some(connection) = &mut peer.connection else { return };
+        let (pulled, whole) = connection.pull_back();
+        peer.out.retain(|command| !pulled.contains(command));
+        pulled.iter().for_each(|_| peer.contact.done(None));
+        pulled.into_iter().for_each(|command| self.owe(command, Outcome::NoConnection, index));
+        let gone = self.follower.node(self.peers[index].node).is_none_or(|k| k.line.state == State::Gone);
+        if !whole {
+            // The rest of a frame would reach the node at a time that nobody can tell.
+            self.peer_lost(key_of(Place::Node, index), "it takes nothing more, and a frame is half written");
+        } else if gone && self.peers[index].out.is_empty() {
+            self.peer_lost(key_of(Place::Node, index), "it has gone");
+        }
+    }
+
+    // The list service.
+
+    pub fn list_key(&self) -> Option<usize> {
+        self.list.connection.as_ref().map(Connection::key)
+    }
+
+    /// Asks for the list, over a new connection where there is none.
+    pub fn watch_list(&mut self) {
+        if self.list.connection.is_none() {
+            let hello = self.hello();
+            match Connection::connect(&self.poll, self.list.address, key_of(Place::List, 0)) {
+                Ok(mut connection) => {
+                    connection.queue(&hello, NOTHING);
+                    self.list.connection = Some(connection);
+                }
+                Err(e) => return self.list_lost(&e.to_string()),
+            }
+            // Another process may serve the list by now, whose epochs mean something else.
+            return self.ask_list(0);
+        }
+        self.ask_list(self.follower.epoch());
+    }
+
+    pub fn ask_list(&mut self, epoch: u64) {
+        if let Some(connection) = &mut self.list.connection {
+            connection.queue(&Message::Watch { epoch }, NOTHING);
+            self.touched.push(key_of(Place::List, 0));
+        }
+    }
+
+    pub fn list_answered(&mut self) {
+        self.list.back.succeeded();
+    }
+
+    pub fn list_lost(&mut self, why: &str) {
+        tracing::warn!(why, "the list service is lost");
+        self.list.connection = None;
+        if self.list.asked {
+            self.list_failed = true;
+        } else {
+            let again = self.list.back.failed(self.now);
+            self.timers.set(again, Timer::ListAgain);
+        }
+    }
+
+    /// Whether all that clients are owed has been written.
+    pub fn nothing_to_write(&self) -> bool {
+        self.clients.iter().all(|(_, c)| c.connection.pending() == 0)
+    }
+}
+
+impl Open {
+    fn tell(&self, answer: &str, reason: &str) {
+        self.span.in_scope(|| {
+            let (hand_offs, node) = (self.hand_offs, self.last_node);
+            tracing::info!(target: "command", answer, reason, hand_offs, node);
+        });
+    }
+}
+
+impl World for Floor {
+    fn send(&mut self, command: u64, hand_off: u32, node: u32, time_out: Ms) {
+        let index = self.peer(node);
+        let sent = self.now;
+        let Some(open) = self.open(command) else { return };
+        (open.hand_offs, open.last_node) = (hand_off + 1, Some(node));
+        open.out.push(Out { hand_off, peer: Some(index), sent });
+        self.timers.set(sent + time_out, Timer::TimeOut { command, hand_off });
+        let dial = self.peers[index].contact.dial();
+        if dial == Dial::Use {
+            return self.hand_over(index, command, hand_off);
+        }
+        self.peers[index].waiting.push((command, hand_off));
+        match dial {
+            Dial::Use | Dial::Wait => {}
+            Dial::Open => self.connect(index),
+            Dial::Afresh => {
+                let waiting = std::mem::take(&mut self.peers[index].waiting);
+                self.peer_lost(key_of(Place::Node, index), "it has gone deaf; connecting afresh");
+                self.peers[index].waiting = waiting;
+                self.connect(index);
+            }
+        }
+    }
+
+    fn cancel(&mut self, command: u64, hand_off: u32) {
+        let waits = self.peers.iter().any(|p| p.waiting.contains(&(command, hand_off)));
+        if !self.is_out(command, hand_off) {
+            return;
+        }
+        self.tell_cancelled(command, hand_off);
+        let outcome = if waits { Outcome::NoConnection } else { Outcome::Cancelled };
+        self.owed.push_back((command, hand_off, outcome));
+    }
+
+    fn answer(&mut self, command: u64, ending: Ending, reason: Reason) {
+        let word = reason.word();
+        match ending {
+            Ending::Bounced { back } => self.finish(command, Verdict::Bounced, back, word.as_bytes(), word),
+            Ending::Scrapped => self.finish(command, Verdict::Scrapped, 0.0, word.as_bytes(), word),
+        }
+    }
+
+    fn probe(&mut self, node: u32) {
+        let index = self.peer(node);
+        let peer = &mut self.peers[index];
+        if let Some(connection) = peer.connection.as_mut().filter(|_| peer.contact.open()) {
+            connection.queue(&Message::Probe { number: node }, NOTHING);
+            self.touched.push(key_of(Place::Node, index));
+        }
+    }
+
+    fn watch(&mut self) {
+        self.watch_list();
+    }
+
+    fn wake(&mut self, at: Ms) {
+        self.wake_at = at;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,532 @@
+//! The running host: one loop over clients, storage nodes and the list service, around the desk.
+//!
+//! The loop hands the module each event and does what it answers. It decides nothing on the module's
+//! questions; what it has to decide by itself (which connection a hand-off goes out on, whether a process is
+//! the one that was meant, what a broken connection proves) stands in `contact` and `follow`, free of I/O.
+
+pub mod contact;
+mod floor;
+pub mod follow;
+pub mod sheet;
+mod stood;
+
+use contact::Greeted;
+use floor::{key_of, place_of, Floor, Place, Timer};
+use follow::Heard;
+use magpiewick::{Answer, Command, Ms, News, Outcome};
+use magpiewick_desk::{Desk, Taken};
+use magpiewick_link::{Clock, Ended, Poll, Registered, Woken};
+use magpiewick_nodewire::{
+    self as wire, Code, Final, Hello, List, Message, Read, Role, Take, Verdict, VERSION,
+};
+use sheet::HostSheet;
+use std::io::{self, ErrorKind, Read as _};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use stood::Stood;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The loop never sleeps longer: what came while the process stood still is told from what just came by it.
+const LONGEST_SLEEP: Ms = 20.0;
+
+/// How a host ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostEnd {
+    /// It was told to stop, and everything in hand got its final answer.
+    Stopped,
+    /// It was told twice.
+    Abandoned,
+}
+
+/// A host with its listener bound.
+pub struct Gateway {
+    sheet: HostSheet,
+    desk: Desk,
+    floor: Floor,
+    listener: Option<Registered<TcpListener>>,
+    stop: Registered<UnixStream>,
+    stops: usize,
+    ends_by: Option<Ms>,
+    address: SocketAddr,
+    /// Set while no more is read from clients, as enough is in hand.
+    full: bool,
+    stood: Stood,
+}
+
+impl Gateway {
+    /// Binds the listener. A byte on `stop` asks the host to stop, a second one to end at once; `life` names
+    /// this start of the process and must differ from all others.
+    pub fn bind(sheet: HostSheet, stop: UnixStream, life: u64) -> io::Result<Gateway> {
+        let clock = Clock::start();
+        let poll = Poll::new()?;
+        let listener = magpiewick_link::listen(sheet.listen)?;
+        let address = listener.local_addr()?;
+        stop.set_nonblocking(true)?;
+        let now = clock.now();
+        Ok(Gateway {
+            desk: Desk::new(sheet.start.clone(), now),
+            listener: Some(poll.register(listener, key_of(Place::Door, 0))?),
+            stop: poll.register(stop, key_of(Place::Stop, 0))?,
+            floor: Floor::new(&sheet, poll, clock, life),
+            stops: 0,
+            ends_by: None,
+            address,
+            full: false,
+            stood: Stood::new(now, sheet.start.round),
+            sheet,
+        })
+    }
+
+    /// Where clients reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until it is told to stop.
+    pub fn run(mut self) -> io::Result<HostEnd> {
+        self.recall();
+        if !self.sheet.list.asked {
+            self.floor.watch_list();
+        }
+        let mut woken = Woken::default();
+        loop {
+            let sleep = self.sleep();
+            self.stood.sleeps(self.floor.clock.now(), sleep);
+            self.floor.poll.wait(&mut woken, Some(Clock::until(0.0, sleep)))?;
+            self.floor.now = self.floor.clock.now();
+            self.stood.woke(self.floor.now);
+            self.turn(&woken);
+            if self.stops > 1 {
+                return Ok(HostEnd::Abandoned);
+            }
+            if self.stops > 0 && self.desk.in_hand() == 0 {
+                // A client that does not read its answers cannot keep the host from ending.
+                let late = self.floor.now + self.sheet.bounds.connect_within;
+                if self.floor.nothing_to_write() || self.floor.now >= *self.ends_by.get_or_insert(late) {
+                    return Ok(HostEnd::Stopped);
+                }
+            }
+        }
+    }
+
+    fn sleep(&self) -> Ms {
+        let next = self.floor.timers.next_at().unwrap_or(f64::INFINITY).min(self.floor.wake_at);
+        (next - self.floor.clock.now()).clamp(0.0, LONGEST_SLEEP)
+    }
+
+    /// One turn: what was told of nodes comes first, so that nothing is decided on old news; then outcomes,
+    /// which free places; then new commands; then what is due.
+    fn turn(&mut self, woken: &Woken) {
+        let of = |place: Place| woken.readable.iter().copied().filter(move |key| place_of(*key) == place);
+        of(Place::List).for_each(|key| self.list_readable(key));
+        of(Place::Node).for_each(|key| self.node_readable(key));
+        self.timers();
+        of(Place::Client).for_each(|key| self.client_readable(key));
+        of(Place::Door).for_each(|_| self.accept());
+        of(Place::Stop).for_each(|_| self.told_to_stop());
+        self.decide();
+        // A turn that took long, or was stopped in its middle, may have decided on news that is old by now: what
+        // the list has said meanwhile is heard before anything leaves.
+        if self.floor.clock.now() - self.floor.now > self.sheet.start.round {
+            self.floor.now = self.floor.clock.now();
+            if let Some(key) = self.floor.list_key() {
+                self.list_readable(key);
+            }
+            self.decide();
+        }
+        woken.writable.iter().for_each(|key| self.floor.touched(*key));
+        self.write();
+    }
+
+    /// Asks the module until nothing is due and no outcome is owed.
+    fn decide(&mut self) {
+        loop {
+            self.settle();
+            self.desk.run(self.floor.now, &mut self.floor);
+            if self.floor.owed.is_empty() && !self.floor.list_failed {
+                return;
+            }
+        }
+    }
+
+    /// Tells the desk what connections brought while it was calling.
+    fn settle(&mut self) {
+        if std::mem::take(&mut self.floor.list_failed) {
+            self.desk.listed(self.floor.now, News::Failed, &[]);
+        }
+        while let Some((command, hand_off, outcome)) = self.floor.owed.pop_front() {
+            self.outcome(command, hand_off, outcome, None, 0.0, &[]);
+        }
+    }
+
+    /// Writes what is to be written. Connections that break at it bring outcomes, and these new hand-offs.
+    fn write(&mut self) {
+        loop {
+            for key in self.floor.take_touched() {
+                match self.floor.flush(key) {
+                    Ok(()) => {
+                        if self.floor.may_read_on(key) && !self.full {
+                            self.read_on(key);
+                        }
+                    }
+                    Err(ended) => match place_of(key) {
+                        Place::Node => self.floor.peer_lost(key, &said(&ended)),
+                        Place::List => self.floor.list_lost(&said(&ended)),
+                        _ => self.client_gone(key, &said(&ended)),
+                    },
+                }
+            }
+            if self.full && self.desk.in_hand() < self.sheet.bounds.most_in_hand {
+                self.full = false;
+                for key in self.floor.client_keys() {
+                    if self.floor.may_read_on(key) {
+                        self.read_on(key);
+                    }
+                }
+            }
+            if self.floor.owed.is_empty() && !self.floor.list_failed && !self.floor.has_touched() {
+                return;
+            }
+            self.decide();
+        }
+    }
+
+    /// Takes what a client sent before it was held back, and reads on.
+    fn read_on(&mut self, key: usize) {
+        if let Some(input) = self.floor.unused(key) {
+            self.client_frames(key, input);
+        }
+        if !self.full {
+            self.floor.read_on(key);
+        }
+    }
+
+    /// Ends a hand-off; what comes for one that has ended before is passed over.
+    fn outcome(
+        &mut self,
+        command: u64,
+        hand_off: u32,
+        outcome: Outcome,
+        used: Option<f64>,
+        others: f64,
+        payload: &[u8],
+    ) {
+        let answered = !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+        let Some(sent) = self.floor.end_hand_off(command, hand_off, answered) else { return };
+        let over = outcome == Outcome::Settled;
+        if over {
+            self.floor.settled(command, payload);
+        }
+        let answer = Answer { outcome, latency: self.floor.now - sent, over, used, others };
+        self.desk.outcome(self.floor.now, command, answer, &mut self.floor);
+        self.floor.release(command);
+    }
+
+    fn timers(&mut self) {
+        while let Some(timer) = self.floor.timers.due(self.floor.now) {
+            match timer {
+                Timer::TimeOut { command, hand_off } => {
+                    if self.floor.is_out(command, hand_off) {
+                        self.floor.tell_cancelled(command, hand_off);
+                        self.outcome(command, hand_off, Outcome::TimedOut, None, 0.0, &[]);
+                    }
+                }
+                Timer::Connect { peer, try_number } => self.floor.connect_late(peer, try_number),
+                Timer::HalfFrame { client, serial } => {
+                    if self.floor.half_frame_late(client, serial) {
+                        self.client_gone(client, "left a frame half sent");
+                    }
+                }
+                Timer::ListAgain => self.floor.watch_list(),
+            }
+        }
+    }
+
+    // The list of nodes.
+
+    fn recall(&mut self) {
+        let Some(path) = &self.sheet.list.remember else { return };
+        let bytes = match std::fs::read(path) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == ErrorKind::NotFound => return,
+            Err(e) => return tracing::warn!(path = %path.display(), error = %e, "the kept list cannot be read"),
+        };
+        match wire::read(&bytes) {
+            Ok(Read::Whole(Message::List(list), used)) if used == bytes.len() => {
+                let entries = self.floor.follower.recall(self.floor.now, &list);
+                tracing::info!(nodes = entries.len(), "took up the list kept from the last run");
+                self.floor.nodes_changed();
+                self.desk.listed(self.floor.now, News::Remembered, &entries);
+            }
+            _ => tracing::warn!(path = %path.display(), "the kept list is damaged and passed over"),
+        }
+    }
+
+    fn remember(&self) {
+        let Some(path) = &self.sheet.list.remember else { return };
+        let mut bytes = Vec::new();
+        wire::write(&Message::List(self.floor.follower.remembered(self.floor.now)), &mut bytes);
+        let beside = path.with_extension("new");
+        let kept = std::fs::write(&beside, &bytes).and_then(|()| std::fs::rename(&beside, path));
+        if let Err(e) = kept {
+            tracing::warn!(path = %path.display(), error = %e, "the list cannot be kept");
+        }
+    }
+
+    fn list_readable(&mut self, key: usize) {
+        let Some((input, ended)) = self.floor.read(key) else { return };
+        let (used, broken) = each_frame(&input, |message| {
+            match message {
+                Message::List(list) => self.heard_list(&list),
+                Message::Refused => {
+                    self.floor.list_answered();
+                    self.desk.listed(self.floor.now, News::Failed, &[]);
+                }
+                Message::Hello(_) => {}
+                _ => return Some("a message that a list service does not send".to_string()),
+            }
+            None
+        });
+        self.floor.give_back(key, input, used);
+        if let Some(why) = broken.or_else(|| ended.map(|e| said(&e))) {
+            self.floor.list_lost(&why);
+        }
+    }
+
+    fn heard_list(&mut self, list: &List) {
+        self.floor.list_answered();
+        match self.floor.follower.heard(self.floor.now, list) {
+            Heard::News(news, entries) => {
+                tracing::info!(epoch = list.epoch, whole = list.whole, lines = list.lines.len(), "list of nodes");
+                self.desk.listed(self.floor.now, news, &entries);
+                self.floor.nodes_changed();
+                self.remember();
+            }
+            Heard::Gap => {
+                tracing::warn!(epoch = list.epoch, "news of the list is missing; asking for all of it");
+                self.floor.ask_list(0);
+            }
+            Heard::Old => {}
+        }
+    }
+
+    // Storage nodes.
+
+    fn node_readable(&mut self, key: usize) {
+        let Some((input, ended)) = self.floor.read(key) else { return };
+        let (used, broken) = each_frame(&input, |message| self.node_said(key, message));
+        self.floor.give_back(key, input, used);
+        if let Some(why) = broken.or_else(|| ended.map(|e| said(&e))) {
+            self.floor.peer_lost(key, &why);
+        }
+        self.settle();
+    }
+
+    /// A message of a node; why its connection must end, where it must.
+    fn node_said(&mut self, key: usize, message: Message) -> Option<String> {
+        if let Message::Hello(hello) = message {
+            return self.node_greeted(key, &hello);
+        }
+        if !self.floor.peer_heard(key) {
+            return Some("a message before the greeting".to_string());
+        }
+        match message {
+            Message::Outcome(o) => {
+                let outcome = match o.code {
+                    Code::Settled => Outcome::Settled,
+                    Code::Error => Outcome::Error,
+                    Code::Full => Outcome::Full,
+                    Code::Moot => Outcome::Moot,
+                    _ => return Some("an outcome that a node cannot know".to_string()),
+                };
+                // Only the node that a hand-off is out at can end it.
+                if self.floor.is_out_at(o.command, u32::from(o.hand_off), key) {
+                    let (used, others) = (o.used.map(f64::from), f64::from(o.others));
+                    self.outcome(o.command, u32::from(o.hand_off), outcome, used, others, o.payload);
+                } else {
+                    tracing::debug!(command = o.command, "an answer for a hand-off that has ended");
+                }
+                None
+            }
+            Message::Probed { .. } => None,
+            _ => Some("a message that a node does not send".to_string()),
+        }
+    }
+
+    fn node_greeted(&mut self, key: usize, hello: &Hello) -> Option<String> {
+        if hello.lowest > VERSION || hello.highest < VERSION {
+            return Some(format!("it speaks versions {} to {}", hello.lowest, hello.highest));
+        }
+        if hello.role != Role::Node {
+            return Some("it is no storage node".to_string());
+        }
+        match self.floor.greeted(key, hello) {
+            Greeted::Expected => None,
+            Greeted::Restarted { started } => {
+                tracing::info!(node = hello.number, "the node restarted before the list said so");
+                if let Some(entry) = self.floor.follower.restarted(hello.number, hello.life, started) {
+                    self.desk.listed(self.floor.now, News::Changes, &[entry]);
+                }
+                None
+            }
+            Greeted::Wrong => Some("another process than the listed one answers".to_string()),
+        }
+    }
+
+    // Clients.
+
+    fn accept(&mut self) {
+        while let Some(listener) = &self.listener {
+            match listener.accept() {
+                Ok((stream, _)) => self.floor.accepted(stream),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return tracing::warn!(error = %e, "no connection can be accepted"),
+            }
+        }
+    }
+
+    fn client_readable(&mut self, key: usize) {
+        let Some((input, ended)) = self.floor.read(key) else { return };
+        self.client_frames(key, input);
+        if let Some(ended) = ended {
+            self.client_gone(key, &said(&ended));
+        }
+    }
+
+    /// Uses the frames that a client sent, as far as there is room for its commands.
+    fn client_frames(&mut self, key: usize, input: Vec<u8>) {
+        let (used, broken) = each_frame(&input, |message| self.client_said(key, message));
+        if broken.as_deref() == Some(FULL) {
+            self.full = true;
+            self.floor.hold_back_all();
+            return self.floor.give_back(key, input, used);
+        }
+        let half = used < input.len();
+        self.floor.give_back(key, input, used);
+        self.floor.half_frame(key, half, used > 0);
+        if let Some(why) = broken {
+            self.client_gone(key, &why);
+        }
+    }
+
+    /// A message of a client; why no more of them can be used, where that is so.
+    fn client_said(&mut self, key: usize, message: Message) -> Option<String> {
+        match message {
+            Message::Take(_) if self.desk.in_hand() >= self.sheet.bounds.most_in_hand => {
+                return Some(FULL.to_string());
+            }
+            Message::Take(take) => self.take(key, &take),
+            Message::GiveUp { command } => {
+                if let Some(command) = self.floor.given_up(key, command) {
+                    self.desk.abandoned(self.floor.now, command);
+                    self.floor.release(command);
+                }
+            }
+            Message::Hello(h) if h.lowest <= VERSION && h.highest >= VERSION && h.role == Role::Client => {}
+            Message::Hello(_) => return Some("a greeting that this host cannot answer".to_string()),
+            _ => return Some("a message that a client does not send".to_string()),
+        }
+        None
+    }
+
+    fn client_gone(&mut self, key: usize, why: &str) {
+        tracing::debug!(client = key, why, "a client has gone");
+        for command in self.floor.client_gone(key) {
+            self.desk.abandoned(self.floor.now, command);
+            self.floor.release(command);
+        }
+    }
+
+    /// Takes a command, or says at once that this host cannot: nothing ran, so trying again is harmless.
+    fn take(&mut self, key: usize, take: &Take) {
+        let refuse = |floor: &mut Floor, why: &str| {
+            let (command, back_us, verdict) = (take.command, 0, Verdict::Bounced);
+            let answer = Message::Final(Final { command, verdict, back_us, payload: why.as_bytes() });
+            floor.to_client(key, &answer);
+        };
+        let band = usize::from(take.band);
+        let Some(volume) = self.sheet.volumes.get(&take.volume) else {
+            return refuse(&mut self.floor, "unknown-volume");
+        };
+        if band >= self.sheet.start.bands.len() {
+            return refuse(&mut self.floor, "unknown-band");
+        }
+        let units = f64::from(take.units);
+        if units <= 0.0 || units > self.sheet.start.most_units {
+            return refuse(&mut self.floor, "impossible-units");
+        }
+        if self.stops > 0 {
+            return refuse(&mut self.floor, "stopping");
+        }
+        if self.floor.has_command(key, take.command) {
+            return refuse(&mut self.floor, "number-in-use");
+        }
+        let shard = (take.key != 0).then(|| {
+            let place = xxh3_64(&take.key.to_le_bytes()) % volume.shards.len() as u64;
+            volume.shards[place as usize]
+        });
+        let age = self.stood.age().max(self.floor.held_back(key));
+        let command = Command {
+            band,
+            plan: volume.plan,
+            volume: 0,
+            key: None,
+            units,
+            shard,
+            hosts: volume.hosts,
+            time_limit: f64::from(take.limit_us) / 1000.0 - age,
+        };
+        let span = tracing::info_span!(
+            target: "command",
+            "command",
+            host = self.sheet.number,
+            number = take.command,
+            volume = volume.name,
+            band = self.sheet.bands[band],
+        );
+        let Some(id) = self.floor.take(key, take, shard, command.time_limit, span) else { return };
+        let taken = Taken { id, key: take.key, volume: take.volume, command };
+        self.desk.take(self.floor.now, taken, &mut self.floor);
+        self.floor.release(id);
+    }
+
+    fn told_to_stop(&mut self) {
+        let mut bytes = [0; 16];
+        match self.stop.read(&mut bytes) {
+            Ok(n) => self.stops += n.max(1),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => self.stops += 1,
+        }
+        if self.stops > 0 && self.listener.take().is_some() {
+            tracing::info!(in_hand = self.desk.in_hand(), "told to stop; nothing new is taken");
+        }
+    }
+}
+
+/// Says that a client's next command must wait, as enough is in hand.
+const FULL: &str = "full";
+
+/// Hands each whole frame on until `each` names a fault; the bytes used up, and the fault. A frame that `each`
+/// faults is not used up.
+fn each_frame(bytes: &[u8], mut each: impl FnMut(Message) -> Option<String>) -> (usize, Option<String>) {
+    let mut used = 0;
+    loop {
+        match wire::read(&bytes[used..]) {
+            Ok(Read::Partial) => return (used, None),
+            Ok(Read::Skip(n)) => used += n,
+            Ok(Read::Whole(message, n)) => match each(message) {
+                None => used += n,
+                fault => return (used, fault),
+            },
+            Err(fault) => return (used, Some(fault.to_string())),
+        }
+    }
+}
+
+fn said(ended: &Ended) -> String {
+    match ended {
+        Ended::Closed => "closed by the other side".to_string(),
+        Ended::Failed(e) => e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,324 @@
+//! One connection that carries frames, with what was read and not yet used, and what is to be written.
+
+use crate::{Poll, Registered};
+use magpiewick_nodewire::{write, Message};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// How many bytes one call of [`Connection::fill`] takes at most, so that one peer cannot hold up a loop.
+const AT_ONCE: usize = 256 << 10;
+/// What a frame is marked with that need not be told apart.
+pub const NOTHING: u64 = 0;
+
+/// Why a connection is over.
+#[derive(Debug)]
+pub enum Ended {
+    /// The peer closed it in order.
+    Closed,
+    Failed(io::Error),
+}
+
+impl From<io::Error> for Ended {
+    fn from(e: io::Error) -> Ended {
+        Ended::Failed(e)
+    }
+}
+
+/// A frame in the output: where it starts and ends, counted in bytes since the connection began, and its mark.
+struct Frame {
+    start: u64,
+    end: u64,
+    mark: u64,
+}
+
+pub struct Connection {
+    socket: Registered<TcpStream>,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Bytes of the output that the kernel has taken, and those before it since the connection began.
+    written: usize,
+    before: u64,
+    frames: VecDeque<Frame>,
+    reading: bool,
+    /// Set until the connection stands.
+    connecting: bool,
+}
+
+impl Connection {
+    pub fn accepted(poll: &Poll, stream: TcpStream, key: usize) -> io::Result<Connection> {
+        Connection::over(poll, stream, key, false)
+    }
+
+    /// Starts to connect; whether that succeeds shows at the first write or read.
+    pub fn connect(poll: &Poll, address: SocketAddr, key: usize) -> io::Result<Connection> {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&address.into()) {
+            Err(e) if e.raw_os_error() != Some(115) && e.kind() != ErrorKind::WouldBlock => return Err(e),
+            _ => {}
+        }
+        let mut connection = Connection::over(poll, socket.into(), key, true)?;
+        connection.socket.watch(true, true)?;
+        Ok(connection)
+    }
+
+    fn over(poll: &Poll, stream: TcpStream, key: usize, connecting: bool) -> io::Result<Connection> {
+        stream.set_nonblocking(true)?;
+        // Answers must not wait for company; the loop gathers what belongs together itself.
+        stream.set_nodelay(true)?;
+        Ok(Connection {
+            socket: poll.register(stream, key)?,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            before: 0,
+            frames: VecDeque::new(),
+            reading: true,
+            connecting,
+        })
+    }
+
+    pub fn key(&self) -> usize {
+        self.socket.key()
+    }
+
+    pub fn connecting(&self) -> bool {
+        self.connecting
+    }
+
+    /// Reads what is there, up to a bound; true where more may be waiting.
+    pub fn fill(&mut self) -> Result<bool, Ended> {
+        let bound = self.input.len() + AT_ONCE;
+        let mut piece = [0; 16 << 10];
+        while self.input.len() < bound {
+            match self.socket.read(&mut piece) {
+                Ok(0) => return Err(Ended::Closed),
+                Ok(n) => {
+                    self.input.extend_from_slice(&piece[..n]);
+                    if n < piece.len() {
+                        return Ok(false);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+        Ok(true)
+    }
+
+    /// Takes what was read out, so that frames can be used while the connection is written to; what was not
+    /// used comes back by [`Connection::give_back`].
+    pub fn take_input(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.input)
+    }
+
+    pub fn give_back(&mut self, mut input: Vec<u8>, used: usize) {
+        input.drain(..used);
+        debug_assert!(self.input.is_empty(), "input was read while it was out");
+        // A burst's room is not kept for ever by a connection that went idle.
+        if input.is_empty() && input.capacity() > AT_ONCE {
+            input = Vec::new();
+        }
+        self.input = input;
+    }
+
+    /// Whether a frame has begun that is not whole.
+    pub fn holds_part(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Puts a message behind what is to be written. `mark` names it to [`Connection::never_left`].
+    pub fn queue(&mut self, message: &Message, mark: u64) {
+        let start = self.before + self.output.len() as u64;
+        write(message, &mut self.output);
+        if mark != NOTHING {
+            self.frames.push_back(Frame { start, end: self.before + self.output.len() as u64, mark });
+        }
+    }
+
+    /// Puts bytes that need not be a whole frame behind what is to be written; for rigs that break off.
+    pub fn queue_bytes(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait to be written.
+    pub fn pending(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Writes what the kernel takes.
+    pub fn flush(&mut self) -> Result<(), Ended> {
+        if self.connecting {
+            match self.socket.take_error()? {
+                Some(e) => return Err(e.into()),
+                None if self.socket.peer_addr().is_ok() => self.connecting = false,
+                None => return Ok(()),
+            }
+        }
+        while self.pending() > 0 {
+            match self.socket.write(&self.output[self.written..]) {
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+        let taken = self.before + self.written as u64;
+        while self.frames.front().is_some_and(|f| f.end <= taken) {
+            self.frames.pop_front();
+        }
+        if self.pending() == 0 || self.written > AT_ONCE {
+            self.output.drain(..self.written);
+            (self.before, self.written) = (taken, 0);
+        }
+        if self.output.is_empty() && self.output.capacity() > AT_ONCE {
+            self.output = Vec::new();
+        }
+        self.socket.watch(self.reading, self.pending() > 0)?;
+        Ok(())
+    }
+
+    /// Whether to read on; a peer that is not read is held back by its own buffers.
+    pub fn set_reading(&mut self, reading: bool) -> Result<(), Ended> {
+        self.reading = reading;
+        self.socket.watch(reading, self.connecting || self.pending() > 0)?;
+        Ok(())
+    }
+
+    /// Marks of the frames whose last byte the kernel has not taken: the peer cannot have read them whole, and
+    /// a frame that is not whole fails its checksum.
+    pub fn never_left(&self) -> Vec<u64> {
+        self.frames.iter().map(|f| f.mark).collect()
+    }
+
+    /// Takes marked frames of which no byte was written out of the output; their marks come back. False where a
+    /// marked frame is left of which a part was written.
+    pub fn pull_back(&mut self) -> (Vec<u64>, bool) {
+        let taken = self.before + self.written as u64;
+        let begun = self.frames.front().is_some_and(|f| f.start < taken);
+        let mut pulled: Vec<Frame> = self.frames.drain(usize::from(begun)..).collect();
+        for frame in pulled.iter().rev() {
+            let at = (frame.start - self.before) as usize..(frame.end - self.before) as usize;
+            self.output.drain(at);
+        }
+        (pulled.drain(..).map(|f| f.mark).collect(), !begun)
+    }
+
+    /// Ends the connection so that the peer sees a reset, not an orderly end.
+    pub fn reset(self) {
+        // Without it the peer sees an end in order: as good, only less plain.
+        _ = socket2::SockRef::from(&*self.socket).set_linger(Some(std::time::Duration::ZERO));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::listen;
+    use magpiewick_nodewire::{read, Message as M, Read as R, Take};
+
+    fn pair(poll: &Poll) -> (Connection, Connection) {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut from = Connection::connect(poll, listener.local_addr().unwrap(), 1).unwrap();
+        let stream = loop {
+            match listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(e) => assert_eq!(e.kind(), ErrorKind::WouldBlock),
+            }
+        };
+        let to = Connection::accepted(poll, stream, 2).unwrap();
+        while from.connecting() {
+            from.flush().unwrap();
+        }
+        (from, to)
+    }
+
+    fn take(command: u64, payload: &[u8]) -> M<'_> {
+        let (band, volume, key, mark, units, limit_us) = (0, 1, 2, command, 1.0, 1000);
+        M::Take(Take { command, band, write: true, volume, key, mark, units, limit_us, payload })
+    }
+
+    /// Reads until as many frames came as wanted; the commands in their order.
+    fn commands(to: &mut Connection, wanted: usize) -> Vec<u64> {
+        let mut found = Vec::new();
+        while found.len() < wanted {
+            to.fill().unwrap();
+            let (input, mut used) = (to.take_input(), 0);
+            while let Ok(R::Whole(message, n)) = read(&input[used..]) {
+                let M::Take(t) = message else { panic!("{message:?}") };
+                found.push(t.command);
+                used += n;
+            }
+            to.give_back(input, used);
+        }
+        found
+    }
+
+    #[test]
+    fn a_peer_that_does_not_read_is_written_in_parts_and_what_never_left_is_known() {
+        let poll = Poll::new().unwrap();
+        let (mut from, mut to) = pair(&poll);
+        let payload = vec![7; 1 << 20];
+        for command in 1..=40 {
+            from.queue(&take(command, &payload), command);
+        }
+        from.flush().unwrap();
+        let left = from.never_left();
+        assert!(!left.is_empty() && from.pending() > 0, "the kernel took 40 MiB at once");
+        let (pulled, whole) = from.pull_back();
+        assert!(!whole, "a frame was begun");
+        assert_eq!(pulled, left[1..]);
+        from.queue(&take(99, &[]), 99);
+        let wanted = 40 - pulled.len() + 1;
+        let mut found = Vec::new();
+        while found.len() < wanted {
+            from.flush().unwrap();
+            to.fill().unwrap();
+            let (input, mut used) = (to.take_input(), 0);
+            while let Ok(R::Whole(M::Take(t), n)) = read(&input[used..]) {
+                found.push(t.command);
+                used += n;
+            }
+            to.give_back(input, used);
+        }
+        let expected: Vec<u64> = (1..wanted as u64).chain([99]).collect();
+        assert_eq!(found, expected);
+    }
+
+    #[test]
+    fn what_was_not_begun_is_pulled_back_and_the_rest_stays_in_order() {
+        let poll = Poll::new().unwrap();
+        let (mut from, mut to) = pair(&poll);
+        from.queue(&take(1, &[1]), 1);
+        from.queue(&take(2, &[2]), NOTHING);
+        from.queue(&take(3, &[3]), 3);
+        assert_eq!(from.pull_back(), (vec![1, 3], true));
+        from.queue(&take(4, &[4]), 4);
+        assert_eq!(from.never_left(), [4]);
+        from.flush().unwrap();
+        assert!(from.never_left().is_empty());
+        assert_eq!(commands(&mut to, 2), [2, 4]);
+    }
+
+    #[test]
+    fn a_refused_connection_shows_at_the_first_write() {
+        let poll = Poll::new().unwrap();
+        let address = listen("127.0.0.1:0".parse().unwrap()).unwrap().local_addr().unwrap();
+        let mut refused = match Connection::connect(&poll, address, 1) {
+            Ok(connection) => connection,
+            Err(_) => return,
+        };
+        refused.queue(&take(1, &[]), 1);
+        let ended = loop {
+            match refused.flush() {
+                Ok(()) => std::thread::yield_now(),
+                Err(ended) => break ended,
+            }
+        };
+        assert!(matches!(ended, Ended::Failed(_)));
+        assert_eq!(refused.never_left(), [1]);
+    }
+}
--- /dev/null
+++ b/crates/link/src/poll.rs
@@ -0,0 +1,111 @@
+//! A poller whose sources cannot outlive their registration.
+
+use polling::{AsSource, Event, Events, PollMode, Poller};
+use std::io;
+use std::ops::{Deref, DerefMut};
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A level-triggered poller: what is not read stays reported, so no readiness is ever lost between calls.
+#[derive(Clone)]
+pub struct Poll(Arc<Poller>);
+
+/// What a wait found: the keys that can be read and those that can be written, in the poller's order.
+#[derive(Default)]
+pub struct Woken {
+    events: Option<Events>,
+    pub readable: Vec<usize>,
+    pub writable: Vec<usize>,
+}
+
+impl Poll {
+    pub fn new() -> io::Result<Poll> {
+        Ok(Poll(Arc::new(Poller::new()?)))
+    }
+
+    /// Registers a source for reading under a key.
+    pub fn register<S: AsRawFd + AsSource>(&self, source: S, key: usize) -> io::Result<Registered<S>> {
+        // SAFETY: the source must be deleted from the poller before it is dropped. `Registered` owns the source
+        // and the poller, hands the source out by reference only, and deletes it in its `Drop`.
+        #[allow(unsafe_code)]
+        unsafe {
+            self.0.add_with_mode(&source, Event::readable(key), PollMode::Level)?;
+        }
+        Ok(Registered { poll: self.clone(), source, key, interest: (true, false) })
+    }
+
+    /// Waits until a source is ready, somebody calls [`Poll::wake`], or the time is over.
+    pub fn wait(&self, woken: &mut Woken, most: Option<Duration>) -> io::Result<()> {
+        let events = woken.events.get_or_insert_with(Events::new);
+        events.clear();
+        woken.readable.clear();
+        woken.writable.clear();
+        match self.0.wait(events, most) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        for event in events.iter() {
+            if event.readable {
+                woken.readable.push(event.key);
+            }
+            if event.writable {
+                woken.writable.push(event.key);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a wait of another thread.
+    pub fn wake(&self) {
+        // A poller that cannot be notified wakes by its own time.
+        _ = self.0.notify();
+    }
+}
+
+/// A source under a poller's eyes until it is dropped.
+pub struct Registered<S: AsSource> {
+    poll: Poll,
+    source: S,
+    key: usize,
+    interest: (bool, bool),
+}
+
+impl<S: AsSource> Registered<S> {
+    pub fn key(&self) -> usize {
+        self.key
+    }
+
+    /// Whether to be told when the source can be read, and when it can be written.
+    pub fn watch(&mut self, read: bool, write: bool) -> io::Result<()> {
+        if self.interest == (read, write) {
+            return Ok(());
+        }
+        let mut event = Event::none(self.key);
+        (event.readable, event.writable) = (read, write);
+        self.poll.0.modify_with_mode(&self.source, event, PollMode::Level)?;
+        self.interest = (read, write);
+        Ok(())
+    }
+}
+
+impl<S: AsSource> Deref for Registered<S> {
+    type Target = S;
+
+    fn deref(&self) -> &S {
+        &self.source
+    }
+}
+
+impl<S: AsSource> DerefMut for Registered<S> {
+    fn deref_mut(&mut self) -> &mut S {
+        &mut self.source
+    }
+}
+
+impl<S: AsSource> Drop for Registered<S> {
+    fn drop(&mut self) {
+        // A source that the poller has lost needs no deleting.
+        _ = self.poll.0.delete(&self.source);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,626 @@
+//! The loop of a fleet: its sockets, its work and its list.
+
+use crate::node::{Ailing, Node};
+use crate::sheet::{FleetSheet, Group};
+use crate::{Ms, Seen};
+use magpiewick_link::{listen, Clock, Connection, Poll, Registered, Timers, Woken, NOTHING};
+use magpiewick_nodewire::{
+    self as wire, Code, HandOff, Hello, Line, List, Message, Outcome, Read, Role, State, LONG_AGO, VERSION,
+};
+use nanorand::{Rng, WyRand};
+use slab::Slab;
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::JoinHandle;
+
+/// A hand-off as a node took it in.
+#[derive(Clone, Debug)]
+pub struct Arrived {
+    pub host: u64,
+    /// The connection it came on, and that connection's own number.
+    pub from: (usize, u64),
+    /// The life of the node that it came to.
+    pub life: u64,
+    /// When its client stops waiting.
+    pub ends: Ms,
+    pub command: u64,
+    pub hand_off: u16,
+    pub band: u16,
+    pub write: bool,
+    pub volume: u64,
+    pub key: u64,
+    pub mark: u64,
+    pub units: f64,
+    pub payload: Vec<u8>,
+}
+
+/// What stands between the sockets and a node in a rig that must break a rule on purpose: each hand-off goes
+/// in, and comes out as often and as late as it likes.
+pub trait Tamper: Send {
+    fn pass(&mut self, now: Ms, node: u32, arrived: Arrived) -> Vec<(Ms, Arrived)>;
+}
+
+/// A host's or client's connection to a node, or to the list service (`node` is none).
+struct Peer {
+    connection: Connection,
+    serial: u64,
+    node: Option<usize>,
+    host: u64,
+    watching: bool,
+}
+
+enum Due {
+    Job(usize, Box<Arrived>),
+    Late(usize, Box<Arrived>),
+    /// Work that was put off is done.
+    PutOff(usize),
+    Again(usize),
+    Tell,
+}
+
+type Order = Box<dyn FnOnce(&mut Fleet) + Send>;
+
+/// The keys of the poller: the list's listener, the nodes' listeners, the connections.
+const LIST: usize = 0;
+const NODES: usize = 1;
+const PEERS: usize = 1 << 32;
+
+pub struct Fleet {
+    sheet: FleetSheet,
+    clock: Clock,
+    poll: Poll,
+    chance: WyRand,
+    nodes: Vec<Node>,
+    doors: Vec<Option<Registered<TcpListener>>>,
+    list_door: Registered<TcpListener>,
+    list_down: bool,
+    epoch: u64,
+    /// Changes that the list service has yet to tell, each with the time from which it may.
+    untold: Vec<(Ms, u32)>,
+    peers: Slab<Peer>,
+    serial: u64,
+    timers: Timers<u64>,
+    dues: HashMap<u64, Due>,
+    due_number: u64,
+    memory: HashMap<(u64, u64), Ms>,
+    records: Vec<(Ms, Seen)>,
+    recording: bool,
+    tamper: Option<Box<dyn Tamper>>,
+    now: Ms,
+    over: bool,
+}
+
+/// A fleet that runs in a thread of its own.
+pub struct Handle {
+    orders: Sender<Order>,
+    poll: Poll,
+    thread: Option<JoinHandle<()>>,
+    pub list: SocketAddr,
+}
+
+impl Handle {
+    /// Starts a fleet; `clock` is the one that its records tell the time by.
+    pub fn start(sheet: FleetSheet, clock: Clock, tamper: Option<Box<dyn Tamper>>) -> io::Result<Handle> {
+        let (orders, inbox) = channel();
+        let mut fleet = Fleet::new(sheet, clock, tamper)?;
+        let (poll, list) = (fleet.poll.clone(), fleet.list_door.local_addr()?);
+        let thread = std::thread::Builder::new().name("fleet".to_string());
+        let thread = thread.spawn(move || fleet.run(&inbox))?;
+        Ok(Handle { orders, poll, thread: Some(thread), list })
+    }
+
+    /// Has the fleet do something between two turns of its loop.
+    pub fn order(&self, order: impl FnOnce(&mut Fleet) + Send + 'static) {
+        // A fleet that has ended needs no orders.
+        _ = self.orders.send(Box::new(order));
+        self.poll.wake();
+    }
+
+    /// Asks the fleet something and waits for the answer; none once it has ended.
+    pub fn ask<T: Send + 'static>(&self, ask: impl FnOnce(&mut Fleet) -> T + Send + 'static) -> Option<T> {
+        let (to, from) = channel();
+        self.order(move |fleet| _ = to.send(ask(fleet)));
+        from.recv().ok()
+    }
+
+    /// The records since they were last taken.
+    pub fn records(&self) -> Vec<(Ms, Seen)> {
+        self.ask(|fleet| std::mem::take(&mut fleet.records)).unwrap_or_default()
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.order(|fleet| fleet.over = true);
+        if let Some(thread) = self.thread.take() {
+            // A fleet that panicked has said so on standard error.
+            _ = thread.join();
+        }
+    }
+}
+
+impl Fleet {
+    fn new(sheet: FleetSheet, clock: Clock, tamper: Option<Box<dyn Tamper>>) -> io::Result<Fleet> {
+        let poll = Poll::new()?;
+        let list_door = poll.register(listen(sheet.list)?, LIST)?;
+        let mut fleet = Fleet {
+            chance: WyRand::new_seed(sheet.seed),
+            nodes: sheet.nodes.iter().cloned().map(Node::new).collect(),
+            doors: sheet.nodes.iter().map(|_| None).collect(),
+            list_door,
+            list_down: false,
+            epoch: 1,
+            untold: Vec::new(),
+            peers: Slab::new(),
+            serial: 0,
+            timers: Timers::default(),
+            dues: HashMap::new(),
+            due_number: 0,
+            memory: HashMap::new(),
+            records: Vec::new(),
+            recording: true,
+            tamper,
+            now: clock.now(),
+            over: false,
+            clock,
+            poll,
+            sheet,
+        };
+        for node in 0..fleet.nodes.len() {
+            if !fleet.nodes[node].sheet.spare {
+                fleet.start(node, false)?;
+                fleet.nodes[node].listed = true;
+            }
+            if fleet.sheet.put_off > 0.0 {
+                let first = fleet.draw() * fleet.sheet.put_off_every;
+                fleet.set(fleet.now + first, Due::PutOff(node));
+            }
+        }
+        Ok(fleet)
+    }
+
+    fn draw(&mut self) -> f64 {
+        f64::from(self.chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    fn set(&mut self, at: Ms, due: Due) {
+        self.due_number += 1;
+        self.dues.insert(self.due_number, due);
+        self.timers.set(at, self.due_number);
+    }
+
+    fn see(&mut self, seen: Seen) {
+        if self.recording {
+            self.records.push((self.clock.now(), seen));
+        }
+    }
+
+    /// Keeps no records any more; for runs without an audit.
+    pub fn forget_records(&mut self) {
+        self.recording = false;
+    }
+
+    fn run(&mut self, inbox: &Receiver<Order>) {
+        let mut woken = Woken::default();
+        while !self.over {
+            let next = self.timers.next_at().map(|at| Clock::until(self.clock.now(), at));
+            if let Err(e) = self.poll.wait(&mut woken, next) {
+                return tracing::error!(error = %e, "the fleet's poller failed");
+            }
+            self.now = self.clock.now();
+            inbox.try_iter().for_each(|order| order(self));
+            while let Some(due) = self.timers.due(self.now).and_then(|number| self.dues.remove(&number)) {
+                self.due(due);
+            }
+            for key in std::mem::take(&mut woken.readable) {
+                self.readable(key);
+            }
+            for index in self.peers.iter().filter(|(_, p)| p.connection.pending() > 0).map(|(i, _)| i).collect::<Vec<_>>()
+            {
+                if self.peers[index].connection.flush().is_err() {
+                    self.end_peer(index);
+                }
+            }
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Job(node, job) => self.done(node, *job),
+            Due::Late(node, arrived) => self.arrive(node, *arrived),
+            Due::PutOff(node) => {
+                let n = &mut self.nodes[node];
+                n.still_until = n.still_until.max(self.now + std::mem::take(&mut n.put_off));
+                let again = self.now + self.sheet.put_off_every;
+                self.set(again, Due::PutOff(node));
+            }
+            Due::Again(node) => self.work(node),
+            Due::Tell => self.tell_news(),
+        }
+    }
+
+    // What a script does.
+
+    pub fn node_number(&self, number: u32) -> Option<usize> {
+        self.nodes.iter().position(|n| n.sheet.number == number)
+    }
+
+    /// Where its nodes listen, by number.
+    pub fn addresses(&self) -> Vec<(u32, SocketAddr)> {
+        self.nodes.iter().filter(|n| n.up).map(|n| (n.sheet.number, n.address)).collect()
+    }
+
+    pub fn ail(&mut self, node: usize, change: impl FnOnce(&mut Ailing)) {
+        change(&mut self.nodes[node].ailing);
+        // What a deaf node does not read must not keep the loop awake.
+        let hears = !self.nodes[node].ailing.deaf;
+        for (_, peer) in self.peers.iter_mut().filter(|(_, p)| p.node == Some(node)) {
+            _ = peer.connection.set_reading(hears);
+        }
+        if let Some(door) = &mut self.doors[node] {
+            _ = door.watch(hears, false);
+        }
+        self.work(node);
+    }
+
+    /// Starts a node's process, cold or as one that has run for long, at the address it had before.
+    pub fn start(&mut self, node: usize, cold: bool) -> io::Result<()> {
+        let life = self.chance.generate::<u64>();
+        let door = listen(self.nodes[node].address)?;
+        self.nodes[node].address = door.local_addr()?;
+        self.doors[node] = Some(self.poll.register(door, NODES + node)?);
+        self.nodes[node].begin(life, cold.then_some(self.now));
+        self.see(Seen::Started { node: self.nodes[node].sheet.number, life, cold });
+        Ok(())
+    }
+
+    /// Ends a node's process without a word.
+    pub fn stop(&mut self, node: usize) {
+        let (number, life) = (self.nodes[node].sheet.number, self.nodes[node].life);
+        self.nodes[node].up = false;
+        self.nodes[node].waiting.clear();
+        self.doors[node] = None;
+        let own: Vec<usize> = self.peers.iter().filter(|(_, p)| p.node == Some(node)).map(|(i, _)| i).collect();
+        for index in own {
+            self.see(Seen::Ended { node: number, host: self.peers[index].host });
+            self.peers.remove(index).connection.reset();
+        }
+        self.see(Seen::Stopped { node: number, life });
+    }
+
+    /// Lists a node anew: as ready, as draining, or not at all.
+    pub fn list(&mut self, node: usize, listed: bool, draining: bool) {
+        let n = &mut self.nodes[node];
+        (n.listed, n.draining) = (listed, draining);
+        let number = n.sheet.number;
+        let at = self.now + self.sheet.list_late;
+        self.untold.push((at, number));
+        self.set(at, Due::Tell);
+    }
+
+    pub fn list_is_down(&mut self, down: bool) {
+        self.list_down = down;
+        if down {
+            let own: Vec<usize> = self.peers.iter().filter(|(_, p)| p.node.is_none()).map(|(i, _)| i).collect();
+            own.into_iter().for_each(|index| self.peers.remove(index).connection.reset());
+        }
+    }
+
+    // The list service.
+
+    fn line(&self, number: u32) -> Option<Line> {
+        let n = &self.nodes[self.node_number(number)?];
+        let IpAddr::V4(address) = n.address.ip() else { return None };
+        let state = match (n.listed, n.draining) {
+            (false, _) => State::Gone,
+            (true, true) => State::Draining,
+            (true, false) => State::Ready,
+        };
+        let age_us = n.started.map_or(LONG_AGO, |at| ((self.now - at).max(0.0) * 1000.0) as u64);
+        let (node, shard, zone, life) = (number, n.sheet.shard, n.sheet.zone, n.life);
+        Some(Line { node, shard, zone, state, life, age_us, address: address.octets(), port: n.address.port() })
+    }
+
+    fn tell_news(&mut self) {
+        let now = self.now;
+        let due: Vec<u32> = self.untold.iter().filter(|u| u.0 <= now).map(|u| u.1).collect();
+        self.untold.retain(|u| u.0 > now);
+        if due.is_empty() {
+            return;
+        }
+        self.epoch += 1;
+        let lines = due.into_iter().filter_map(|number| self.line(number)).collect();
+        let news = List { whole: false, epoch: self.epoch, lines };
+        if self.list_down {
+            return;
+        }
+        for index in self.peers.iter().filter(|(_, p)| p.watching).map(|(i, _)| i).collect::<Vec<_>>() {
+            self.tell(index, &news);
+        }
+    }
+
+    fn tell(&mut self, index: usize, list: &List) {
+        let host = self.peers[index].host;
+        for l in list.lines.iter().filter(|l| l.state != State::Ready) {
+            self.see(Seen::Told { host, node: l.node, life: l.life });
+        }
+        self.peers[index].connection.queue(&Message::List(list.clone()), NOTHING);
+    }
+
+    fn whole_list(&self) -> List {
+        // What is not told yet stands in the whole list as it will: news may be early, never wrong.
+        let listed = self.nodes.iter().filter(|n| n.listed).map(|n| n.sheet.number);
+        List { whole: true, epoch: self.epoch, lines: listed.filter_map(|n| self.line(n)).collect() }
+    }
+
+    // Sockets.
+
+    fn readable(&mut self, key: usize) {
+        if key >= PEERS {
+            return self.peer_readable(key - PEERS);
+        }
+        let node = key.checked_sub(NODES);
+        loop {
+            let door = match node {
+                None => Some(&self.list_door),
+                Some(n) => self.doors[n].as_ref(),
+            };
+            let Some(Ok((stream, _))) = door.map(|d| d.accept()) else { return };
+            if node.is_none() && self.list_down {
+                continue;
+            }
+            let entry = self.peers.vacant_entry();
+            let index = entry.key();
+            let Ok(connection) = Connection::accepted(&self.poll, stream, PEERS + index) else { continue };
+            self.serial += 1;
+            entry.insert(Peer { connection, serial: self.serial, node, host: 0, watching: false });
+            let hello = self.hello(node);
+            self.peers[index].connection.queue(&hello, NOTHING);
+        }
+    }
+
+    fn hello(&self, node: Option<usize>) -> Message<'static> {
+        let n = node.map(|n| &self.nodes[n]);
+        let age = |at: Ms| ((self.now - at).max(0.0) * 1000.0) as u64;
+        Message::Hello(Hello {
+            lowest: VERSION,
+            highest: VERSION,
+            role: n.map_or(Role::List, |_| Role::Node),
+            number: n.map_or(0, |n| n.sheet.number),
+            life: n.map_or(0, |n| n.life),
+            age_us: n.and_then(|n| n.started).map_or(LONG_AGO, age),
+        })
+    }
+
+    fn peer_readable(&mut self, index: usize) {
+        let Some(peer) = self.peers.get_mut(index) else { return };
+        let serial = peer.serial;
+        let mut ended = peer.connection.fill().is_err();
+        let (input, mut used) = (peer.connection.take_input(), 0);
+        while !ended {
+            match wire::read(&input[used..]) {
+                Ok(Read::Partial) => break,
+                Ok(Read::Skip(n)) => used += n,
+                Ok(Read::Whole(message, n)) => {
+                    used += n;
+                    ended = !self.said(index, &message);
+                    // Whoever broke the connection off took its peer away.
+                    if self.peers.get(index).is_none_or(|p| p.serial != serial) {
+                        return;
+                    }
+                }
+                Err(_) => ended = true,
+            }
+        }
+        self.peers[index].connection.give_back(input, used);
+        if ended {
+            self.end_peer(index);
+        }
+    }
+
+    fn end_peer(&mut self, index: usize) {
+        let peer = self.peers.remove(index);
+        if let Some(node) = peer.node {
+            self.see(Seen::Ended { node: self.nodes[node].sheet.number, host: peer.host });
+        }
+    }
+
+    /// What a host said; false where it may not.
+    fn said(&mut self, index: usize, message: &Message) -> bool {
+        let (node, host) = (self.peers[index].node, self.peers[index].host);
+        match (message, node) {
+            (Message::Hello(hello), _) => self.peers[index].host = hello.life,
+            (Message::Watch { .. }, None) => {
+                self.peers[index].watching = true;
+                let whole = self.whole_list();
+                self.tell(index, &whole);
+                // Nodes that are not listed any more are told of by their absence.
+                let gone: Vec<(u32, u64)> =
+                    self.nodes.iter().filter(|n| !n.listed).map(|n| (n.sheet.number, n.life)).collect();
+                gone.into_iter().for_each(|(node, life)| self.see(Seen::Told { host, node, life }));
+            }
+            (Message::HandOff(h), Some(node)) => {
+                let arrived = self.arrived(index, node, h);
+                match &mut self.tamper {
+                    None => self.arrive(node, arrived),
+                    Some(tamper) => {
+                        let number = self.nodes[node].sheet.number;
+                        for (late, arrived) in tamper.pass(self.now, number, arrived) {
+                            match late > 0.0 {
+                                true => self.set(self.now + late, Due::Late(node, Box::new(arrived))),
+                                false => self.arrive(node, arrived),
+                            }
+                        }
+                    }
+                }
+            }
+            (Message::Cancel { command, hand_off }, Some(node)) => {
+                let number = self.nodes[node].sheet.number;
+                self.see(Seen::Cancelled { node: number, host, command: *command, hand_off: *hand_off });
+                let is = |a: &Arrived| (a.host, a.command, a.hand_off) == (host, *command, *hand_off);
+                self.nodes[node].waiting.retain(|a| !is(a));
+            }
+            (Message::Probe { number }, Some(node)) => {
+                let n = &self.nodes[node];
+                let busy = n.running as f32 / n.sheet.cores as f32;
+                let (number, queue) = (*number, n.waiting.len() as u32);
+                self.peers[index].connection.queue(&Message::Probed { number, queue, busy }, NOTHING);
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    fn arrived(&self, index: usize, node: usize, h: &HandOff) -> Arrived {
+        let peer = &self.peers[index];
+        Arrived {
+            host: peer.host,
+            from: (index, peer.serial),
+            life: self.nodes[node].life,
+            ends: self.now + f64::from(h.left_us) / 1000.0,
+            command: h.command,
+            hand_off: h.hand_off,
+            band: h.band,
+            write: h.write,
+            volume: h.volume,
+            key: h.key,
+            mark: h.mark,
+            units: f64::from(h.units),
+            payload: h.payload.to_vec(),
+        }
+    }
+
+    // Work.
+
+    fn arrive(&mut self, node: usize, a: Arrived) {
+        let n = &mut self.nodes[node];
+        if !n.up || n.life != a.life {
+            return;
+        }
+        let number = n.sheet.number;
+        let (host, command, hand_off, band) = (a.host, a.command, a.hand_off, a.band);
+        let (volume, key, mark, units) = (a.volume, a.key, a.mark, a.units);
+        self.see(Seen::HandOff { node: number, host, command, hand_off, band, volume, key, mark, units });
+        let n = &mut self.nodes[node];
+        if n.pushed_over(self.now, units, self.sheet.unit_work, &self.sheet.cold) {
+            self.see(Seen::Fell { node: number });
+            return self.stop(node);
+        }
+        if n.ailing.full || n.waiting.len() >= self.sheet.queue {
+            return self.answer(node, &a, Code::Full, &[]);
+        }
+        n.waiting.push_back(a);
+        self.work(node);
+    }
+
+    fn work(&mut self, node: usize) {
+        let (unit_work, cold) = (self.sheet.unit_work, self.sheet.cold);
+        loop {
+            let n = &mut self.nodes[node];
+            if !n.up || n.running >= n.sheet.cores || n.waiting.is_empty() {
+                return;
+            }
+            if self.now < n.still_until {
+                let at = n.still_until;
+                return self.set(at, Due::Again(node));
+            }
+            let Some(job) = n.waiting.pop_front() else { return };
+            // A command whose time is up is not begun.
+            if self.now >= job.ends {
+                continue;
+            }
+            let mut time = n.work(self.now, job.units, unit_work, &cold);
+            if job.write {
+                n.put_off += time * self.sheet.put_off / n.sheet.cores as f64;
+                time *= 1.0 - self.sheet.put_off;
+            }
+            n.running += 1;
+            let at = self.now + time;
+            if time <= 0.0 {
+                self.done(node, job);
+            } else {
+                self.set(at, Due::Job(node, Box::new(job)));
+            }
+        }
+    }
+
+    fn done(&mut self, node: usize, job: Arrived) {
+        if !self.nodes[node].up || self.nodes[node].life != job.life {
+            return;
+        }
+        self.nodes[node].running -= 1;
+        let number = self.nodes[node].sheet.number;
+        if !self.is_repeat(node, &job) {
+            let (host, command, band, mark) = (job.host, job.command, job.band, job.mark);
+            self.see(Seen::Ran { node: number, host, command, band, mark });
+            if job.write {
+                self.nodes[node].store.insert((job.volume, job.key), job.payload.clone());
+            }
+        }
+        let found = self.nodes[node].store.get(&(job.volume, job.key)).filter(|_| !job.write);
+        let found = found.cloned().unwrap_or_default();
+        self.answer(node, &job, Code::Settled, &found);
+        self.work(node);
+    }
+
+    /// Whether the nodes of this one's group have run the command before and still know.
+    fn is_repeat(&mut self, node: usize, job: &Arrived) -> bool {
+        if job.mark == 0 || !self.sheet.fingerprinted.contains(&job.band) {
+            return false;
+        }
+        let sheet = &self.nodes[node].sheet;
+        let group = match self.sheet.group {
+            Group::All => 0,
+            Group::Zone => u64::from(sheet.zone),
+            Group::Shard => u64::from(sheet.shard),
+        };
+        let (now, memory) = (self.now, self.sheet.memory);
+        if self.memory.len() > 100_000 {
+            self.memory.retain(|_, at| now - *at < memory);
+        }
+        let known = self.memory.get(&(group, job.mark)).is_some_and(|at| now - at < memory);
+        if !known {
+            self.memory.insert((group, job.mark), now);
+        }
+        known
+    }
+
+    fn answer(&mut self, node: usize, a: &Arrived, code: Code, payload: &[u8]) {
+        let others = match code {
+            Code::Settled => self.nodes[node].served(a.volume, a.host, a.units),
+            _ => 0.0,
+        };
+        let lost = self.nodes[node].ailing.losing > 0.0 && self.draw() < self.nodes[node].ailing.losing;
+        let ailing = self.nodes[node].ailing;
+        let (index, serial) = a.from;
+        let Some(peer) = self.peers.get_mut(index).filter(|p| p.serial == serial) else { return };
+        if ailing.silent || lost {
+            return;
+        }
+        let n = &self.nodes[node];
+        let (command, hand_off) = (a.command, a.hand_off);
+        let message = Message::Outcome(Outcome {
+            command,
+            hand_off,
+            code,
+            used: None,
+            others: others as f32,
+            queue: n.waiting.len() as u32,
+            busy: n.running as f32 / n.sheet.cores as f32,
+            payload,
+        });
+        if ailing.breaking {
+            let mut frame = Vec::new();
+            wire::write(&message, &mut frame);
+            peer.connection.queue_bytes(&frame[..frame.len() / 2]);
+            _ = peer.connection.flush();
+            self.nodes[node].ailing.breaking = false;
+            return self.end_peer(index);
+        }
+        peer.connection.queue(&message, NOTHING);
+        let (node, host, ran) = (n.sheet.number, a.host, code == Code::Settled);
+        self.see(Seen::Answered { node, host, command, hand_off, ran });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,45 @@
+//! Stand-ins for storage nodes and the list service, written from `docs/wire.md`: a fleet on loopback that
+//! stores what is written, works at a stated speed, fails on a script, and keeps a record of all that it saw
+//! on its sockets. It holds to no rule by itself; what hosts do to it is what a drill audits.
+
+mod fleet;
+mod node;
+mod script;
+mod sheet;
+
+pub use fleet::{Arrived, Fleet, Handle, Tamper};
+pub use script::{play, read_troubles, Step, Trouble};
+pub use sheet::{fleet as read_fleet, Cold, FleetSheet, NodeSheet};
+
+/// Milliseconds on the clock that all records of a run share.
+pub type Ms = f64;
+
+/// What a node or the list service saw or did, in the order in which it did. A host is its number and life.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Seen {
+    /// A node's process started; `cold` where it cannot do all of its work yet.
+    Started { node: u32, life: u64, cold: bool },
+    Stopped { node: u32, life: u64 },
+    /// A cold node was pushed over.
+    Fell { node: u32 },
+    HandOff {
+        node: u32,
+        host: u64,
+        command: u64,
+        hand_off: u16,
+        band: u16,
+        volume: u64,
+        key: u64,
+        mark: u64,
+        units: f64,
+    },
+    /// A command's effect took place.
+    Ran { node: u32, host: u64, command: u64, band: u16, mark: u64 },
+    /// An answer left; `ran` is false where it is proof that nothing ran.
+    Answered { node: u32, host: u64, command: u64, hand_off: u16, ran: bool },
+    Cancelled { node: u32, host: u64, command: u64, hand_off: u16 },
+    /// The connection of a host ended, and with it the wait for all that was out on it.
+    Ended { node: u32, host: u64 },
+    /// A host was told that a node takes nothing new any more.
+    Told { host: u64, node: u32, life: u64 },
+}
--- /dev/null
+++ b/crates/standin/src/script.rs
@@ -0,0 +1,251 @@
+//! Troubles on a script: which, to whom, from when to when.
+
+use crate::fleet::{Fleet, Handle};
+use crate::Ms;
+use magpiewick_link::Clock;
+use magpiewick_settings::Part;
+use std::time::Duration;
+
+/// A kind of trouble, as the file names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Silent,
+    AnswersLost,
+    Slow,
+    Ageing,
+    Crash,
+    Drain,
+    Preempt,
+    MassRestart,
+    ReportsLate,
+    FullQueue,
+    Deaf,
+    ResetMidFrame,
+    ListDown,
+    ListFlaps,
+    HostStall,
+    HostKill,
+    Surge,
+}
+
+const KINDS: [(&str, Kind); 17] = [
+    ("silent", Kind::Silent),
+    ("answers-lost", Kind::AnswersLost),
+    ("slow", Kind::Slow),
+    ("ageing", Kind::Ageing),
+    ("crash", Kind::Crash),
+    ("drain", Kind::Drain),
+    ("preempt", Kind::Preempt),
+    ("mass-restart", Kind::MassRestart),
+    ("reports-late", Kind::ReportsLate),
+    ("full-queue", Kind::FullQueue),
+    ("deaf", Kind::Deaf),
+    ("reset-mid-frame", Kind::ResetMidFrame),
+    ("list-down", Kind::ListDown),
+    ("list-flaps", Kind::ListFlaps),
+    ("host-stall", Kind::HostStall),
+    ("host-kill", Kind::HostKill),
+    ("surge", Kind::Surge),
+];
+
+/// One trouble of a script.
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub name: String,
+    kind: Kind,
+    /// Nodes, zones, hosts or volumes, by the kind.
+    whom: Vec<u64>,
+    pub from: Ms,
+    pub to: Ms,
+    amount: f64,
+    /// The spare nodes that take the place of those that go.
+    successors: Vec<u64>,
+}
+
+/// One thing that a script does, at its time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Silent(u32, bool),
+    Losing(u32, f64),
+    Slow(u32, f64),
+    Meter(u32, bool),
+    Full(u32, bool),
+    Deaf(u32, bool),
+    Breaking(u32),
+    Stop(u32),
+    StartCold(u32),
+    Drain(u32),
+    Unlist(u32),
+    List(u32),
+    ListDown(bool),
+    /// These are not the fleet's: whoever plays the script does them.
+    HostStall(u32, bool),
+    HostKill(u32),
+    HostStart(u32),
+    Surge(u64, f64),
+}
+
+/// Reads the blocks `trouble` of a file.
+pub fn read_troubles(root: &Part) -> Vec<Trouble> {
+    root.repeated("trouble").iter().filter_map(read_trouble).collect()
+}
+
+fn read_trouble(p: &Part) -> Option<Trouble> {
+    let kind = KINDS.iter().find(|(name, _)| *name == p.label()).map(|k| k.1);
+    if kind.is_none() {
+        let known: Vec<&str> = KINDS.iter().map(|k| k.0).collect();
+        p.fault(format!("unknown trouble {:?}; known: {}", p.label(), known.join(", ")));
+    }
+    let (from, to) = (p.field("from").time(), p.field("to").time_or(f64::INFINITY));
+    if to <= from {
+        p.fault_at("to", "a trouble that ends before it begins");
+    }
+    let successors = p.field("successors");
+    let lists = ["nodes", "zones", "hosts", "volumes"].map(|name| p.field(name));
+    let whom = lists.iter().find(|l| l.given()).map_or(Vec::new(), |l| l.wholes());
+    Some(Trouble {
+        name: p.label().to_string(),
+        kind: kind?,
+        whom,
+        from,
+        to,
+        amount: p.field("amount").number_or(1.0),
+        successors: if successors.given() { successors.wholes() } else { Vec::new() },
+    })
+}
+
+impl Trouble {
+    /// Its steps, with their times. `zone` tells the nodes of a zone.
+    pub fn steps(&self, zone: impl Fn(u64) -> Vec<u32>) -> Vec<(Ms, Step)> {
+        let mut steps = Vec::new();
+        let both = |steps: &mut Vec<(Ms, Step)>, from: Step, to: Step| {
+            steps.extend([(self.from, from), (self.to, to)]);
+        };
+        let length = if self.to.is_finite() { self.to - self.from } else { 1000.0 };
+        for whom in &self.whom {
+            let node = *whom as u32;
+            match self.kind {
+                Kind::Silent => both(&mut steps, Step::Silent(node, true), Step::Silent(node, false)),
+                Kind::AnswersLost => both(&mut steps, Step::Losing(node, self.amount), Step::Losing(node, 0.0)),
+                Kind::Slow => both(&mut steps, Step::Slow(node, self.amount), Step::Slow(node, 1.0)),
+                Kind::ReportsLate => both(&mut steps, Step::Meter(node, true), Step::Meter(node, false)),
+                Kind::FullQueue => both(&mut steps, Step::Full(node, true), Step::Full(node, false)),
+                Kind::Deaf => both(&mut steps, Step::Deaf(node, true), Step::Deaf(node, false)),
+                Kind::Crash => {
+                    both(&mut steps, Step::Stop(node), Step::StartCold(node));
+                    both(&mut steps, Step::Unlist(node), Step::List(node));
+                }
+                Kind::ResetMidFrame => both(&mut steps, Step::Breaking(node), Step::Breaking(node)),
+                Kind::HostStall => both(&mut steps, Step::HostStall(node, true), Step::HostStall(node, false)),
+                Kind::HostKill => both(&mut steps, Step::HostKill(node), Step::HostStart(node)),
+                Kind::Surge => both(&mut steps, Step::Surge(*whom, self.amount), Step::Surge(*whom, 1.0)),
+                Kind::Ageing => {
+                    // Slower and slower, then dead, then back and cold.
+                    for part in 0..8 {
+                        let slow = 1.0 + (self.amount - 1.0) * f64::from(part + 1) / 8.0;
+                        steps.push((self.from + length * f64::from(part) / 10.0, Step::Slow(node, slow)));
+                    }
+                    steps.push((self.from + length * 0.8, Step::Stop(node)));
+                    steps.push((self.to, Step::StartCold(node)));
+                    steps.push((self.to, Step::List(node)));
+                    continue;
+                }
+                Kind::MassRestart => {
+                    for node in zone(*whom) {
+                        steps.push((self.from, Step::Stop(node)));
+                        steps.push((self.to, Step::StartCold(node)));
+                        steps.push((self.to, Step::List(node)));
+                    }
+                    continue;
+                }
+                Kind::Drain | Kind::Preempt => {
+                    steps.push((self.from, Step::Drain(node)));
+                    steps.push((self.to, Step::Stop(node)));
+                    steps.push((self.to, Step::Unlist(node)));
+                    continue;
+                }
+                Kind::ListDown | Kind::ListFlaps => {}
+            }
+        }
+        match self.kind {
+            Kind::ListDown => both(&mut steps, Step::ListDown(true), Step::ListDown(false)),
+            Kind::ListFlaps => {
+                for turn in 0..4 {
+                    let at = self.from + length * f64::from(turn) / 4.0;
+                    steps.push((at, Step::ListDown(true)));
+                    steps.push((at + length / 8.0, Step::ListDown(false)));
+                }
+            }
+            // A drained node's successor starts with its notice, a preempted one's once it has gone.
+            Kind::Drain | Kind::Preempt => {
+                let at = if self.kind == Kind::Drain { self.from } else { self.to };
+                for node in &self.successors {
+                    steps.push((at, Step::StartCold(*node as u32)));
+                    steps.push((at, Step::List(*node as u32)));
+                }
+            }
+            _ => {}
+        }
+        steps.retain(|(at, _)| at.is_finite());
+        steps
+    }
+}
+
+impl Step {
+    /// Does what is the fleet's to do; false where it is not.
+    fn apply(&self, fleet: &mut Fleet) -> bool {
+        let on = |fleet: &mut Fleet, number: u32, change: &dyn Fn(&mut Fleet, usize)| {
+            if let Some(node) = fleet.node_number(number) {
+                change(fleet, node);
+            }
+        };
+        match *self {
+            Step::Silent(n, yes) => on(fleet, n, &|f, n| f.ail(n, |a| a.silent = yes)),
+            Step::Losing(n, part) => on(fleet, n, &|f, n| f.ail(n, |a| a.losing = part)),
+            Step::Slow(n, times) => on(fleet, n, &|f, n| f.ail(n, |a| a.slow = times)),
+            Step::Meter(n, mute) => on(fleet, n, &|f, n| f.ail(n, |a| a.mute_meter = mute)),
+            Step::Full(n, yes) => on(fleet, n, &|f, n| f.ail(n, |a| a.full = yes)),
+            Step::Deaf(n, yes) => on(fleet, n, &|f, n| f.ail(n, |a| a.deaf = yes)),
+            Step::Breaking(n) => on(fleet, n, &|f, n| f.ail(n, |a| a.breaking = true)),
+            Step::Stop(n) => on(fleet, n, &|f, n| f.stop(n)),
+            Step::StartCold(n) => on(fleet, n, &|f, n| {
+                if let Err(e) = f.start(n, true) {
+                    tracing::error!(node = n, error = %e, "a stand-in cannot start again");
+                }
+            }),
+            Step::Drain(n) => on(fleet, n, &|f, n| f.list(n, true, true)),
+            Step::Unlist(n) => on(fleet, n, &|f, n| f.list(n, false, false)),
+            Step::List(n) => on(fleet, n, &|f, n| f.list(n, true, false)),
+            Step::ListDown(down) => fleet.list_is_down(down),
+            _ => return false,
+        }
+        true
+    }
+}
+
+/// Plays steps at their times on `clock`, counted from `start`; what is not the fleet's goes to `other`.
+/// Ends early where `stopped` says so.
+pub fn play(
+    handle: &Handle,
+    clock: &Clock,
+    start: Ms,
+    mut steps: Vec<(Ms, Step)>,
+    mut other: impl FnMut(&Step),
+    stopped: impl Fn() -> bool,
+) {
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at, step) in steps {
+        while clock.now() < start + at {
+            if stopped() {
+                return;
+            }
+            let left = Clock::until(clock.now(), start + at);
+            std::thread::sleep(left.min(Duration::from_millis(50)));
+        }
+        tracing::info!(at_ms = at, step = ?step, "the script goes on");
+        let did = step.clone();
+        if !handle.ask(move |fleet| did.apply(fleet)).unwrap_or(true) {
+            other(&step);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/sheet.rs
@@ -0,0 +1,115 @@
+//! What a fleet of stand-ins is told.
+
+use crate::Ms;
+use magpiewick_settings::Part;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// How a node that has just started does its work.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub share: f64,
+    pub time: Ms,
+    /// It falls when sent more than this multiple of what it can do for this time, but bears these units.
+    pub fall_multiple: f64,
+    pub fall_time: Ms,
+    pub units: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Shard,
+}
+
+#[derive(Clone, Debug)]
+pub struct NodeSheet {
+    pub number: u32,
+    pub listen: SocketAddr,
+    pub zone: u16,
+    pub shard: u32,
+    pub cores: usize,
+    pub speed: f64,
+    /// Not started until a script does.
+    pub spare: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct FleetSheet {
+    pub seed: u64,
+    pub list: SocketAddr,
+    /// How late the list service tells its news.
+    pub list_late: Ms,
+    /// Work of a unit at a speed of 1.
+    pub unit_work: Ms,
+    pub queue: usize,
+    pub cold: Cold,
+    /// The bands, by number, whose repeats are dropped, among which nodes, and for how long.
+    pub fingerprinted: Vec<u16>,
+    pub group: Group,
+    pub memory: Ms,
+    /// The part of a write's work that is put off, and how often what was put off is done in one go.
+    pub put_off: f64,
+    pub put_off_every: Ms,
+    pub nodes: Vec<NodeSheet>,
+}
+
+const GROUPS: [(&str, Group); 3] = [("all", Group::All), ("zone", Group::Zone), ("shard", Group::Shard)];
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Reads the block `standin` of a file, where it has one.
+pub fn fleet(root: &Part) -> Option<FleetSheet> {
+    let p = root.part("standin")?;
+    let cores = p.field("cores").whole_or(1..=1024, 2);
+    let speed = p.field("speed").number_or(1.0);
+    if speed <= 0.0 {
+        p.fault_at("speed", "a speed of 0: nothing would ever be done");
+    }
+    let nodes = p.labelled("node").iter().map(|n| node(n, cores, speed)).collect::<Vec<_>>();
+    if nodes.is_empty() {
+        p.fault("no node; expected at least one block node \"number\"");
+    }
+    let bands = p.field("fingerprinted");
+    let fingerprinted = if bands.given() { bands.wholes() } else { Vec::new() };
+    Some(FleetSheet {
+        seed: p.field("seed").whole_or(0..=u64::MAX, 1),
+        list: p.field("list").address_or(ANY),
+        list_late: p.field("list_late").time_or(0.0),
+        unit_work: p.field("unit_work").time_or(1.0),
+        queue: p.field("queue").whole_or(1..=1 << 20, 256) as usize,
+        cold: cold(p.part("cold")),
+        fingerprinted: fingerprinted.into_iter().map(|band| band as u16).collect(),
+        group: p.field("group").one_of_or(&GROUPS, Group::Shard),
+        memory: p.field("memory").time_or(0.0),
+        put_off: p.field("put_off").part_or(0.0),
+        put_off_every: p.field("put_off_every").time_or(1000.0),
+        nodes,
+    })
+}
+
+fn cold(part: Option<Part>) -> Cold {
+    let warm = Cold { share: 1.0, time: 0.0, fall_multiple: 1.0, fall_time: 0.0, units: f64::INFINITY };
+    part.map_or(warm, |p| Cold {
+        share: p.field("share").part_or(1.0),
+        time: p.field("time").time(),
+        fall_multiple: p.field("fall_multiple").number(),
+        fall_time: p.field("fall_time").time(),
+        units: p.field("units").number_or(0.0),
+    })
+}
+
+fn node(p: &Part, cores: u64, speed: f64) -> NodeSheet {
+    let number = p.label().parse().unwrap_or_else(|_| {
+        p.fault(format!("the label {:?} of a node is not its number", p.label()));
+        0
+    });
+    NodeSheet {
+        number,
+        listen: p.field("listen").address_or(ANY),
+        zone: p.field("zone").whole_or(0..=u64::from(u16::MAX), 0) as u16,
+        shard: p.field("shard").whole(0..=u64::from(u16::MAX)) as u32,
+        cores: p.field("cores").whole_or(1..=1024, cores) as usize,
+        speed: p.field("speed").number_or(speed),
+        spare: p.field("spare").flag_or(false),
+    }
+}
