--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,7 +4,7 @@
 mod sheet;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use magpiewick_drill::{drill, load, Drilled, Rule, Said};
+use magpiewick_drill::{bench, drill, load, relay, Drilled, Rule, Said};
 use magpiewick_gateway::{Gateway, HostEnd};
 use magpiewick_link::Clock;
 use magpiewick_standin::{play, Handle};
@@ -23,7 +23,11 @@
 const ABANDONED: u8 = 4;
 
 #[derive(Parser)]
-#[command(name = "magpiewick", version, about = "A storage gateway: schedules a host's reads and writes over storage nodes")]
+#[command(
+    name = "magpiewick",
+    version,
+    about = "A storage gateway: schedules a host's reads and writes over storage nodes"
+)]
 struct Arguments {
     #[command(subcommand)]
     command: Task,
@@ -89,6 +93,33 @@
         #[arg(long, value_enum, default_value_t = Form::Text)]
         format: Form,
     },
+    /// Measure what a host costs, against a bare relay and against clients straight at a node
+    Bench {
+        /// Numbers of nodes
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 8, 60])]
+        nodes: Vec<usize>,
+        /// Commands a second for the latencies; half of what the host can do otherwise
+        #[arg(long)]
+        rate: Option<f64>,
+    },
+    /// A bare relay, for measuring
+    #[command(hide = true)]
+    Relay { nodes: Vec<SocketAddr> },
+}
+
+impl Task {
+    /// The settings file that it reads; none where it needs none.
+    fn file(&self) -> Option<&Path> {
+        match self {
+            Task::Serve { file, .. }
+            | Task::Check { file }
+            | Task::Node { file, .. }
+            | Task::List { file }
+            | Task::Drill { file, .. }
+            | Task::Load { file, .. } => Some(file),
+            Task::Bench { .. } | Task::Relay { .. } => None,
+        }
+    }
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -118,22 +149,17 @@
             return ExitCode::from(if e.use_stderr() { USAGE } else { 0 });
         }
     };
-    let file = match &arguments.command {
-        Task::Serve { file, .. }
-        | Task::Check { file }
-        | Task::Node { file, .. }
-        | Task::List { file }
-        | Task::Drill { file, .. }
-        | Task::Load { file, .. } => file.clone(),
-    };
-    let sheet = match sheet::read(&file, fresh()) {
-        Ok(sheet) => sheet,
-        Err(faults) => {
-            eprintln!("{faults}");
-            return ExitCode::from(USAGE);
-        }
+    let done = match arguments.command.file().map(Path::to_path_buf) {
+        None => measure(&arguments.command),
+        Some(file) => match sheet::read(&file, fresh()) {
+            Ok(sheet) => run(arguments.command, sheet, &file),
+            Err(faults) => {
+                eprintln!("{faults}");
+                Ok(USAGE)
+            }
+        },
     };
-    match run(arguments.command, sheet, &file) {
+    match done {
         Ok(code) => ExitCode::from(code),
         Err(e) => {
             eprintln!("magpiewick: {e}");
@@ -147,7 +173,11 @@
         Task::Check { .. } => {
             let host = &sheet.host;
             let (bands, plans) = (host.start.bands.len(), host.start.plans.len());
-            println!("{}: good; {bands} bands, {plans} plans, {} volumes", file.display(), host.volumes.len());
+            println!(
+                "{}: good; {bands} bands, {plans} plans, {} volumes",
+                file.display(),
+                host.volumes.len()
+            );
             Ok(0)
         }
         Task::Serve { number, listen, list, seed, bare, .. } => {
@@ -196,6 +226,37 @@
             }
             Ok(0)
         }
+        Task::Bench { .. } | Task::Relay { .. } => Ok(USAGE),
+    }
+}
+
+/// What needs no settings file.
+fn measure(task: &Task) -> io::Result<u8> {
+    match task {
+        Task::Bench { nodes, rate } => {
+            let all = bench(&std::env::current_exe()?, nodes, *rate)?;
+            println!(
+                "{:9} {:>5} {:>24} {:>9} {:>22} {:>22} {:>22} {:>18}",
+                "way", "nodes", "most a second", "at", "p50 ms", "p99 ms", "p99.9 ms", "cpu us a command"
+            );
+            for m in all {
+                let show = |f: [f64; 3], d: usize| format!("{:.d$} ({:.d$}-{:.d$})", f[0], f[1], f[2]);
+                println!(
+                    "{:9} {:>5} {:>24} {:>9.0} {:>22} {:>22} {:>22} {:>18}",
+                    m.way,
+                    m.nodes,
+                    show(m.most_a_second, 0),
+                    m.at,
+                    show(m.p50_ms, 3),
+                    show(m.p99_ms, 3),
+                    show(m.p999_ms, 3),
+                    show(m.cpu_us, 1)
+                );
+            }
+            Ok(0)
+        }
+        Task::Relay { nodes } => relay(nodes).map(|()| 0),
+        _ => Ok(USAGE),
     }
 }
 
@@ -294,7 +355,10 @@
         d.taken, d.settled, d.bounced, d.scrapped, d.host_died, d.unanswered
     );
     println!("payoff within the soft limit {:.3}; p50 {:.1} ms, p99 {:.1} ms", d.payoff, d.p50_ms, d.p99_ms);
-    println!("hand-offs {}, further {}; hosts ended with {:?}", d.verdict.hand_offs, d.verdict.further, d.exit_codes);
+    println!(
+        "hand-offs {}, further {}; hosts ended with {:?}",
+        d.verdict.hand_offs, d.verdict.further, d.exit_codes
+    );
     for rule in Rule::ALL {
         let found: Vec<_> = d.verdict.findings.iter().filter(|f| f.rule == rule).collect();
         let word = if found.is_empty() { "kept" } else { "BROKEN" };
--- /dev/null
+++ b/crates/cli/tests/drills.rs
@@ -0,0 +1,52 @@
+//! The whole path on loopback under injected faults: hosts as processes, stand-ins, clients, and the audit.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::Mutex;
+
+/// Drills measure against the clock, so they run one at a time.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../drills").join(name)
+}
+
+fn drill(name: &str, more: &[&str]) -> (Option<i32>, serde_json::Value) {
+    let _alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_magpiewick"));
+    let Output { status, stdout, stderr } =
+        command.arg("drill").arg(file(name)).args(["--format", "json"]).args(more).output().unwrap();
+    let said = String::from_utf8_lossy(&stderr);
+    (status.code(), serde_json::from_slice(&stdout).unwrap_or_else(|e| panic!("{e}: {said}")))
+}
+
+/// A good day: every rule had work to do and was kept, and every try is accounted for.
+fn kept(name: &str, seed: &str) -> serde_json::Value {
+    let (code, found) = drill(name, &["--seed", seed]);
+    assert_eq!((code, &found["findings"]), (Some(0), &serde_json::json!([])), "{found:#}");
+    for (rule, checked) in found["checked"].as_object().unwrap() {
+        assert!(checked.as_u64().unwrap() > 0, "{rule} had nothing to check");
+    }
+    let count = |name: &str| found[name].as_u64().unwrap();
+    let ended = ["settled", "bounced", "scrapped", "host_died", "unanswered"].map(count);
+    assert_eq!(ended.iter().sum::<u64>(), count("taken"));
+    found
+}
+
+#[test]
+fn the_bad_day_keeps_every_rule() {
+    let taken: u64 = ["1", "2", "3"].iter().map(|s| kept("bad-day.hcl", s)["taken"].as_u64().unwrap()).sum();
+    assert!(taken > 250_000, "{taken} commands in three days");
+}
+
+#[test]
+fn each_planted_breach_is_named_and_no_other() {
+    kept("plants.hcl", "5");
+    for rule in ["lost", "twice", "drain", "cold", "order", "budget", "limits"] {
+        let (code, found) = drill("plants.hcl", &["--plant", rule]);
+        assert_eq!(code, Some(1), "{rule}: {found:#}");
+        let findings = found["findings"].as_array().unwrap();
+        assert!(!findings.is_empty(), "{rule} was not found");
+        assert!(findings.iter().all(|f| f["rule"] == rule), "{rule}: {found:#}");
+    }
+}
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -191,7 +191,17 @@
                     out.insert((host, command, hand_off), self.sent.len());
                     let (at, answered, dropped) = (*at, None, None);
                     self.sent.push(Sent {
-                        at, node, life, host, command, hand_off, volume, units, mark, answered, dropped,
+                        at,
+                        node,
+                        life,
+                        host,
+                        command,
+                        hand_off,
+                        volume,
+                        units,
+                        mark,
+                        answered,
+                        dropped,
                     });
                 }
                 Seen::Answered { host, command, hand_off, ran, .. } => {
@@ -222,7 +232,8 @@
         for i in 0..self.sent.len() {
             let s = &self.sent[i];
             let tries = by_mark.get(&(s.host, s.mark));
-            let latest = || tries.and_then(|all| all.iter().rev().find(|t| self.tried[**t].at <= s.at).copied());
+            let latest =
+                || tries.and_then(|all| all.iter().rev().find(|t| self.tried[**t].at <= s.at).copied());
             let belongs = *first.entry((s.host, s.command)).or_insert_with(latest);
             match belongs {
                 Some(t) => self.tried[t].sent.push(i),
@@ -302,7 +313,9 @@
             let what = match band.repeats {
                 Repeats::Binding => Some("a binding command sent again that may have run"),
                 _ if at > first.at + band.memory + noise => Some("sent again after its mark is forgotten"),
-                _ if !self.same_group(band.group, first.node, now.node) => Some("sent again outside its group"),
+                _ if !self.same_group(band.group, first.node, now.node) => {
+                    Some("sent again outside its group")
+                }
                 _ => None,
             };
             if let Some(what) = what {
@@ -343,7 +356,8 @@
             let Some(&at) = told.get(&place) else { continue };
             met.insert(place);
             // A host that stood still heard of it when it went on.
-            let stalls = self.e.stalls.iter().filter(|x| Some(&x.0) == numbers.get(&s.host) && x.1 <= at && at < x.2);
+            let stalls =
+                self.e.stalls.iter().filter(|x| Some(&x.0) == numbers.get(&s.host) && x.1 <= at && at < x.2);
             let heard = stalls.map(|x| x.2).fold(at, f64::max);
             if s.at > heard + grace {
                 let late = s.at - heard;
@@ -370,8 +384,11 @@
             for (last, &i) in own.iter().enumerate() {
                 let to = self.sent[i].at;
                 let from = (to - c.fall_time).max(start);
-                let sum: f64 =
-                    own[..=last].iter().filter(|s| self.sent[**s].at >= from).map(|s| self.sent[*s].units).sum();
+                let sum: f64 = own[..=last]
+                    .iter()
+                    .filter(|s| self.sent[**s].at >= from)
+                    .map(|s| self.sent[*s].units)
+                    .sum();
                 let could = c.fall_multiple * a_ms * c.fall_time * (warmth(from) + warmth(to)) / 2.0;
                 if sum > could.max(c.units) {
                     let what = format!("sent {sum} units in {} ms, which bears {could:.0}", c.fall_time);
@@ -477,7 +494,9 @@
         let mut found = Vec::new();
         let mut checked = 0;
         for (i, s) in self.sent.iter().enumerate().filter(|(_, s)| known.insert((s.host, s.command))) {
-            let Some(plan) = self.e.host.volumes.get(&s.volume).map(|v| &start.plans[v.plan]) else { continue };
+            let Some(plan) = self.e.host.volumes.get(&s.volume).map(|v| &start.plans[v.plan]) else {
+                continue;
+            };
             if plan.limit_rate <= 0.0 {
                 continue;
             }
--- /dev/null
+++ b/crates/drill/src/bench.rs
@@ -0,0 +1,159 @@
+//! Measures what a host costs: commands a second, latency, processor time and memory, against a bare relay and
+//! against clients that speak to nodes straight, in one run with the same stand-ins and clients.
+
+use crate::clients::Session;
+use crate::hosts::{HostProcess, Program};
+use crate::run::{offer, LoadReport};
+use crate::sheet::{read, DrillSheet};
+use magpiewick_gateway::sheet::{host, HostSheet};
+use magpiewick_link::Clock;
+use magpiewick_settings::read_text;
+use magpiewick_standin::{read_fleet, FleetSheet, Handle};
+use serde::Serialize;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+type Ms = f64;
+
+/// How long each figure is measured, and how often; the repeats give the spread.
+const TIME: Ms = 2000.0;
+const REPEATS: u64 = 3;
+/// Commands that flooding clients keep in hand.
+const FLOOD: usize = 256;
+
+/// One way at one number of nodes: medians, and the least and most of the repeats.
+#[derive(Serialize)]
+pub struct Measured {
+    pub way: &'static str,
+    pub nodes: usize,
+    pub most_a_second: [f64; 3],
+    /// Commands a second at which the figures below were taken.
+    pub at: f64,
+    pub p50_ms: [f64; 3],
+    pub p99_ms: [f64; 3],
+    pub p999_ms: [f64; 3],
+    /// Processor time of the process between, a command; 0 where there is none.
+    pub cpu_us: [f64; 3],
+    pub bounced: u64,
+}
+
+fn text(nodes: usize) -> String {
+    let shards: Vec<String> = (0..nodes).map(|n| n.to_string()).collect();
+    let mut text = format!(
+        "host {{\n  most_units = 1\n  most_clients = 64\n}}\nlog {{\n  level = \"error\"\n}}\n\
+         band \"read\" {{\n  soft_limit = \"200ms\"\n  time_limit = \"1s\"\n  repeats = \"retriable\"\n}}\n\
+         plan \"all\" {{\n  rate = 100000\n}}\n\
+         volume \"v\" {{\n  id = 1\n  plan = \"all\"\n  shards = [{}]\n}}\n\
+         drill {{\n  time = \"2s\"\n}}\n\
+         traffic {{\n  rate = 1000\n  clients = 4\n  keys = 10000\n  mix \"read\" {{\n    share = 1\n  }}\n}}\n\
+         standin {{\n  unit_work = \"0ms\"\n  cores = 64\n  queue = 100000\n",
+        shards.join(", ")
+    );
+    (0..nodes).for_each(|n| text += &format!("  node \"{n}\" {{\n    shard = {n}\n  }}\n"));
+    text + "}\n"
+}
+
+/// What the middle, least and most of some figures are.
+fn spread(mut figures: Vec<f64>) -> [f64; 3] {
+    figures.sort_by(f64::total_cmp);
+    [figures[figures.len() / 2], figures[0], figures[figures.len() - 1]]
+}
+
+struct Rig {
+    host: HostSheet,
+    drill: DrillSheet,
+    handle: Handle,
+    nodes: Vec<SocketAddr>,
+}
+
+impl Rig {
+    fn once(&self, to: SocketAddr, rate: Option<f64>, seed: u64) -> io::Result<LoadReport> {
+        let mut drill = self.drill.clone();
+        drill.traffic.rate = rate.unwrap_or(1.0);
+        let in_flight = rate.is_none().then_some(FLOOD);
+        let session = Session { in_flight, ..Session::open(Clock::start(), TIME, seed) };
+        offer(&self.host, &drill, to, &session)
+    }
+}
+
+/// Measures at these numbers of nodes, latencies at `rate` or half of what the host can do at the most. Straight to a node only where there is one, as a client has no placement.
+pub fn bench(program: &Path, counts: &[usize], rate: Option<f64>) -> io::Result<Vec<Measured>> {
+    let mut all = Vec::new();
+    for &count in counts {
+        let text = text(count);
+        let sheets = read_text("bench", &text, |root| {
+            let host = host(root, 1);
+            let drill = host.as_ref().and_then(|h| read(root, h));
+            host.zip(drill).zip(read_fleet(root))
+        });
+        let sheets = sheets.map_err(|faults| io::Error::other(faults.to_string()))?;
+        let Some(((host, drill), fleet)) = sheets else { return Err(io::Error::other("no bench")) };
+        let file = std::env::temp_dir().join(format!("magpiewick-bench-{}.hcl", std::process::id()));
+        std::fs::write(&file, &text)?;
+        let measured = at(program, &file, (host, drill, fleet), rate, &mut all);
+        std::fs::remove_file(&file)?;
+        measured?;
+    }
+    Ok(all)
+}
+
+fn at(
+    program: &Path,
+    file: &Path,
+    (host, drill, fleet): (HostSheet, DrillSheet, FleetSheet),
+    rate: Option<f64>,
+    all: &mut Vec<Measured>,
+) -> io::Result<()> {
+    let count = fleet.nodes.len();
+    let handle = Handle::start(fleet, Clock::start(), None)?;
+    handle.order(|fleet| fleet.forget_records());
+    let nodes = handle.ask(|fleet| fleet.addresses()).unwrap_or_default();
+    let nodes: Vec<SocketAddr> = nodes.into_iter().map(|n| n.1).collect();
+    let rig = Rig { host, drill, handle, nodes };
+    let started =
+        Program { program: program.to_path_buf(), file: file.to_path_buf(), list: rig.handle.list, seed: 1 };
+    let mut relay = Command::new(program);
+    relay.arg("relay").args(rig.nodes.iter().map(SocketAddr::to_string));
+    let (through, relay) = (HostProcess::start(&started, 0)?, HostProcess::run(relay)?);
+    let mut ways: Vec<(&'static str, SocketAddr, Option<&HostProcess>)> =
+        vec![("host", through.address, Some(&through)), ("relay", relay.address, Some(&relay))];
+    if count == 1 {
+        ways.push(("straight", rig.nodes[0], None));
+    }
+    // In turn, so that a change of the machine's speed meets all ways alike.
+    let mut most: Vec<Vec<f64>> = ways.iter().map(|_| Vec::new()).collect();
+    for seed in 0..REPEATS {
+        for (way, figures) in ways.iter().zip(&mut most) {
+            figures.push(rig.once(way.1, None, seed)?.settled_a_second);
+        }
+    }
+    let most: Vec<[f64; 3]> = most.into_iter().map(spread).collect();
+    let half = rate.unwrap_or(most[0][0] / 2.0);
+    let mut half_load: Vec<Vec<(LoadReport, f64)>> = ways.iter().map(|_| Vec::new()).collect();
+    for seed in 0..REPEATS {
+        for (way, figures) in ways.iter().zip(&mut half_load) {
+            let used = |p: Option<&HostProcess>| p.map_or(Ok(0.0), |p| p.usage().map(|u| u.0));
+            let before = used(way.2)?;
+            let report = rig.once(way.1, Some(half), seed)?;
+            let cpu = (used(way.2)? - before) * 1e6 / report.taken.max(1) as f64;
+            figures.push((report, cpu));
+        }
+    }
+    for ((way, most), reports) in ways.iter().zip(most).zip(half_load) {
+        let of = |figure: fn(&LoadReport) -> f64| spread(reports.iter().map(|r| figure(&r.0)).collect());
+        all.push(Measured {
+            way: way.0,
+            nodes: count,
+            most_a_second: most,
+            at: half,
+            p50_ms: of(|r| r.p50_ms),
+            p99_ms: of(|r| r.p99_ms),
+            p999_ms: of(|r| r.p999_ms),
+            cpu_us: spread(reports.iter().map(|r| r.1).collect()),
+            bounced: reports.iter().map(|r| r.0.bounced).sum(),
+        });
+    }
+    Ok(())
+}
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients as an open loop: commands come at their times whatever becomes of the earlier ones, and latencies
 //! count from the time at which a command was due, so that a late loop hides nothing.
 
+use crate::audit::Rule;
 use crate::sheet::{DrillSheet, Traffic};
 use hdrhistogram::Histogram;
 use magpiewick_gateway::sheet::HostSheet;
@@ -37,11 +38,19 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Said {
     Took(Try),
-    Answered { number: u64, verdict: Verdict, back: Ms },
+    Answered {
+        number: u64,
+        verdict: Verdict,
+        back: Ms,
+    },
     /// The client's time was up.
-    GaveUp { number: u64 },
+    GaveUp {
+        number: u64,
+    },
     /// The connection ended, and with it the wait.
-    Lost { number: u64 },
+    Lost {
+        number: u64,
+    },
 }
 
 /// Counts and latencies of all clients.
@@ -94,6 +103,7 @@
 enum Due {
     GiveUp(u64),
     Again(u64),
+    Write(u64),
 }
 
 struct Volume {
@@ -102,6 +112,9 @@
     surge: f64,
 }
 
+/// How long a rig that breaks the order holds commands back.
+const OVERTAKING: Ms = 250.0;
+
 struct Loop {
     clock: Clock,
     poll: Poll,
@@ -119,16 +132,48 @@
     dues: HashMap<u64, Due>,
     serial: u64,
     next_at: Ms,
+    in_flight: Option<usize>,
     now: Ms,
     ends: Ms,
     records: Option<Vec<(Ms, Said)>>,
     tally: Tally,
     payload: Vec<u8>,
+    /// A number from which on one answer is lost on its way, and whether ordered commands are held back on theirs:
+    /// what a rig does to break a rule.
     deafened: Option<u64>,
+    overtaken: bool,
+    in_order: Vec<bool>,
     /// How much longer than it says a client waits, so that a late thread is not taken for a late host.
     noise: Ms,
 }
 
+/// When and how clients send.
+#[derive(Clone, Copy)]
+pub struct Session {
+    pub clock: Clock,
+    pub begin: Ms,
+    pub end: Ms,
+    pub seed: u64,
+    /// Whether all that is said is recorded, for an audit.
+    pub record: bool,
+    /// A rule that is broken on purpose on the way between clients and hosts.
+    pub planted: Option<Rule>,
+    /// In place of the traffic's rate: so many commands are always in hand.
+    pub in_flight: Option<usize>,
+}
+
+impl Session {
+    /// Traffic at its rate, for a time that begins shortly.
+    pub fn open(clock: Clock, time: Ms, seed: u64) -> Session {
+        let begin = clock.now() + SETTLING;
+        let end = begin + time;
+        Session { clock, begin, end, seed, record: false, planted: None, in_flight: None }
+    }
+}
+
+/// How long hosts have to learn of the nodes before clients begin.
+const SETTLING: Ms = 300.0;
+
 /// The clients of a run, in a thread of their own.
 pub struct Clients {
     orders: Sender<Order>,
@@ -137,28 +182,24 @@
 }
 
 impl Clients {
-    /// Starts the clients: they send from `begin` to `end` on `clock`. With `deafen` one answer is lost on
-    /// purpose, in the rig, for an audit that must find it.
+    /// Starts the clients of a session.
     pub fn start(
         sheet: &HostSheet,
         drill: &DrillSheet,
         hosts: Vec<Host>,
-        clock: Clock,
-        (begin, end): (Ms, Ms),
-        seed: u64,
-        record: bool,
-        deafen: bool,
+        session: &Session,
     ) -> std::io::Result<Clients> {
         let (orders, inbox) = channel();
         let poll = Poll::new()?;
         let count = hosts.len();
-        let reach = |id: u64, v: f64| (0..(v as usize).min(count)).map(|i| (id as usize + i) % count).collect();
+        let reach =
+            |id: u64, v: f64| (0..(v as usize).min(count)).map(|i| (id as usize + i) % count).collect();
         let volumes = sheet.volumes.iter();
         let volumes = volumes.map(|(id, v)| Volume { id: *id, hosts: reach(*id, v.hosts), surge: 1.0 });
         let most = drill.traffic.mixes.iter().map(|m| m.payload).max().unwrap_or(0);
         let mut all = Loop {
             poll: poll.clone(),
-            chance: WyRand::new_seed(seed),
+            chance: WyRand::new_seed(session.seed),
             noise: drill.noise,
             traffic: drill.traffic.clone(),
             limits: sheet.start.bands.iter().map(|b| b.time_limit).collect(),
@@ -171,14 +212,17 @@
             timers: Timers::default(),
             dues: HashMap::new(),
             serial: 0,
-            next_at: begin,
-            now: clock.now(),
-            ends: end,
-            records: record.then(Vec::new),
+            next_at: session.begin,
+            in_flight: session.in_flight,
+            now: session.clock.now(),
+            ends: session.end,
+            records: session.record.then(Vec::new),
             tally: Tally::default(),
             payload: (0..most).map(|i| i as u8).collect(),
-            deafened: deafen.then_some(200),
-            clock,
+            deafened: (session.planted == Some(Rule::Lost)).then_some(200),
+            overtaken: session.planted == Some(Rule::Order),
+            in_order: sheet.start.bands.iter().map(|b| b.in_order).collect(),
+            clock: session.clock,
         };
         let thread = std::thread::Builder::new().name("clients".to_string());
         let thread = thread.spawn(move || {
@@ -218,7 +262,8 @@
         (0..self.hosts.len()).for_each(|host| self.connect(host));
         loop {
             let next = self.timers.next_at().unwrap_or(f64::INFINITY);
-            let next = if self.next_at < self.ends { next.min(self.next_at) } else { next };
+            let full = self.in_flight.is_some_and(|most| self.in_hand.len() >= most || self.now >= self.ends);
+            let next = if self.next_at < self.ends && !full { next.min(self.next_at) } else { next };
             let wait = Clock::until(self.clock.now(), next.min(self.clock.now() + 50.0));
             if let Err(e) = self.poll.wait(&mut woken, Some(wait)) {
                 return tracing::error!(error = %e, "the clients' poller failed");
@@ -243,9 +288,18 @@
                 self.due(due);
             }
             while self.next_at < self.ends && self.next_at <= self.now {
-                let due = self.next_at;
-                self.next_at += self.gap();
+                if self.in_flight.is_some_and(|most| self.in_hand.len() >= most || self.now >= self.ends) {
+                    break;
+                }
+                let due = if self.in_flight.is_some() { self.now } else { self.next_at };
+                if self.in_flight.is_none() {
+                    self.next_at += self.gap();
+                }
+                let before = self.in_hand.len();
                 self.command(due);
+                if self.in_hand.len() == before {
+                    break;
+                }
             }
             for line in 0..self.lines.len() {
                 let broken = self.lines[line].as_mut().is_some_and(|l| {
@@ -330,12 +384,24 @@
 
     fn send(&mut self, mut c: InHand) {
         let line = c.host * self.traffic.clients + c.attempt.key as usize % self.traffic.clients;
-        let Some((l, life)) = self.lines[line].as_mut().and_then(|l| l.life.map(|life| (l, life))) else {
-            return;
-        };
+        let Some(life) = self.lines[line].as_ref().and_then(|l| l.life) else { return };
         (c.line, c.attempt.host, c.attempt.at_host) = (line, life, c.host);
         let t = c.attempt;
-        let mix = &self.traffic.mixes[c.mix];
+        self.tally.taken += 1;
+        self.say(Said::Took(t));
+        self.set(self.now + t.limit + self.noise, Due::GiveUp(t.number));
+        self.in_hand.insert(t.number, c);
+        // The key's commands that come within the delay overtake it.
+        if self.overtaken && !t.later && self.in_order[usize::from(t.band)] && t.number.is_multiple_of(2) {
+            return self.set(self.now + OVERTAKING, Due::Write(t.number));
+        }
+        self.write(t.number);
+    }
+
+    fn write(&mut self, number: u64) {
+        let Some(c) = self.in_hand.get(&number) else { return };
+        let Some(l) = &mut self.lines[c.line] else { return };
+        let (t, mix) = (c.attempt, &self.traffic.mixes[c.mix]);
         l.connection.queue(
             &Message::Take(Take {
                 command: t.number,
@@ -350,14 +416,6 @@
             }),
             NOTHING,
         );
-        // Written at once: the record must not be older than what the host can see.
-        if l.connection.flush().is_err() {
-            return self.line_lost(line);
-        }
-        self.tally.taken += 1;
-        self.say(Said::Took(t));
-        self.set(self.now + t.limit + self.noise, Due::GiveUp(t.number));
-        self.in_hand.insert(t.number, c);
     }
 
     fn set(&mut self, at: Ms, due: Due) {
@@ -376,6 +434,7 @@
                     line.connection.queue(&Message::GiveUp { command: number }, NOTHING);
                 }
             }
+            Due::Write(number) => self.write(number),
             Due::Again(number) => {
                 if let Some(c) = self.back.remove(&number) {
                     self.send(c);
@@ -400,7 +459,9 @@
                                 l.life = Some(hello.life);
                             }
                         }
-                        Message::Final(f) => self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0),
+                        Message::Final(f) => {
+                            self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0)
+                        }
                         _ => ended = true,
                     }
                 }
@@ -456,7 +517,8 @@
         if self.lines[line].take().is_none() {
             return;
         }
-        let mut lost: Vec<u64> = self.in_hand.iter().filter(|(_, c)| c.line == line).map(|(n, _)| *n).collect();
+        let mut lost: Vec<u64> =
+            self.in_hand.iter().filter(|(_, c)| c.line == line).map(|(n, _)| *n).collect();
         lost.sort_unstable();
         for number in lost {
             let Some(mut c) = self.in_hand.remove(&number) else { continue };
--- a/crates/drill/src/hosts.rs
+++ b/crates/drill/src/hosts.rs
@@ -29,6 +29,11 @@
         command.arg("serve").arg(&p.file).arg("--bare");
         command.args(["--number", &number.to_string(), "--listen", "127.0.0.1:0"]);
         command.args(["--list", &p.list.to_string(), "--seed", &(p.seed + number as u64).to_string()]);
+        HostProcess::run(command)
+    }
+
+    /// Starts a process that says first of all `ready` and its address.
+    pub fn run(mut command: Command) -> io::Result<HostProcess> {
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
         let mut line = String::new();
         let out = child.stdout.take().map(BufReader::new);
@@ -41,11 +46,24 @@
                 _ = child.kill();
                 _ = child.wait();
                 read?;
-                Err(io::Error::other(format!("host {number} said {:?} in place of its address", line.trim())))
+                Err(io::Error::other(format!("a process said {:?} in place of its address", line.trim())))
             }
         }
     }
 
+    /// Seconds of processor time that it has used, and bytes of memory that it holds.
+    pub fn usage(&self) -> io::Result<(f64, u64)> {
+        let read = |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", self.child.id()));
+        let stat = read("stat")?;
+        // The fields behind the name, which may hold spaces; user and system time are the 12th and 13th.
+        let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+        let ticks: f64 = fields.skip(11).take(2).filter_map(|f| f.parse::<f64>().ok()).sum();
+        let status = read("status")?;
+        let held = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let held = held.and_then(|l| l.trim().split(' ').next()?.parse::<u64>().ok());
+        Ok((ticks / 100.0, held.unwrap_or(0) * 1024))
+    }
+
     fn signal(&self, signal: Signal) -> io::Result<()> {
         Ok(kill_process(Pid::from_child(&self.child), signal)?)
     }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -2,14 +2,18 @@
 //! seven rules that trusts nobody's counters, only what nodes and clients saw on their sockets.
 
 mod audit;
+mod bench;
 mod clients;
 mod hosts;
 mod plant;
+mod relay;
 mod run;
 mod sheet;
 
 pub use audit::{audit, Evidence, Finding, Rule, Verdict};
-pub use clients::{Clients, Host, Said, Tally, Try};
+pub use bench::{bench, Measured};
+pub use clients::{Clients, Host, Said, Session, Tally, Try};
 pub use plant::plant;
+pub use relay::relay;
 pub use run::{drill, load, Drilled, LoadReport};
 pub use sheet::{read as read_sheet, DrillSheet, Mix, Traffic};
--- a/crates/drill/src/plant.rs
+++ b/crates/drill/src/plant.rs
@@ -1,6 +1,8 @@
 //! Breaks one rule on purpose, in the rig between sockets and nodes, so that an audit can be seen to find it.
 
 use crate::audit::Rule;
+use magpiewick::Repeats;
+use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_standin::{Arrived, Tamper};
 use std::collections::HashMap;
 
@@ -12,71 +14,67 @@
 struct Plant {
     rule: Rule,
     seen: u64,
-    /// Bands by what they allow.
     binding: Vec<u16>,
-    ordered: Vec<u16>,
+    /// Bands without an order that may run again, and the one of them that may wait longest with that wait.
+    free: Vec<u16>,
+    patient: (u16, Ms),
     limited: Vec<u64>,
-    /// The last hand-off of each host to each key.
-    last: HashMap<(u64, u64), Arrived>,
     /// When a node was first met on this run.
     met: HashMap<u32, Ms>,
-    done: u64,
+    done: bool,
 }
 
-/// A rig that breaks `rule`; none for the one that the clients' side breaks.
-pub fn plant(rule: Rule, host: &magpiewick_gateway::sheet::HostSheet) -> Option<Box<dyn Tamper>> {
+/// A rig that breaks `rule` and no other; none where the clients' side breaks it.
+pub fn plant(rule: Rule, host: &HostSheet) -> Option<Box<dyn Tamper>> {
     let bands = || host.start.bands.iter().zip(0..);
     let plans = &host.start.plans;
     let limited = host.volumes.iter().filter(|(_, v)| plans[v.plan].limit_rate > 0.0).map(|(id, _)| *id);
-    let binding = bands().filter(|(b, _)| b.repeats == magpiewick::Repeats::Binding).map(|(_, i)| i);
+    let of = |repeats| bands().filter(move |(b, _)| b.repeats == repeats && !b.in_order).map(|(_, i)| i);
+    let waits = |band: &u16| host.start.bands[usize::from(*band)].soft_limit;
+    let patient = of(Repeats::Retriable).max_by(|a, b| waits(a).total_cmp(&waits(b))).unwrap_or(0);
     let plant = Plant {
         rule,
         seen: 0,
-        binding: binding.collect(),
-        ordered: bands().filter(|(b, _)| b.in_order).map(|(_, i)| i).collect(),
+        binding: of(Repeats::Binding).collect(),
+        free: of(Repeats::Retriable).collect(),
+        patient: (patient, 0.85 * waits(&patient)),
         limited: limited.collect(),
-        last: HashMap::new(),
         met: HashMap::new(),
-        done: 0,
+        done: false,
     };
-    (rule != Rule::Lost).then(|| Box::new(plant) as Box<dyn Tamper>)
+    (!matches!(rule, Rule::Lost | Rule::Order)).then(|| Box::new(plant) as Box<dyn Tamper>)
 }
 
 impl Tamper for Plant {
     fn pass(&mut self, now: Ms, node: u32, arrived: Arrived) -> Vec<(Ms, Arrived)> {
         self.seen += 1;
         let met = *self.met.entry(node).or_insert(now);
-        let again = |hand_off: u16| Arrived { hand_off, ..arrived.clone() };
-        let other = |n: u64| Arrived { command: arrived.command ^ (n << 56), hand_off: 0, ..arrived.clone() };
-        let straight = (0.0, arrived.clone());
         if self.seen < FIRST {
-            return vec![straight];
+            return vec![(0.0, arrived)];
         }
-        let mut out = vec![straight];
-        match self.rule {
-            Rule::Lost => {}
-            Rule::Twice if self.binding.contains(&arrived.band) && self.done == 0 => {
-                self.done = 1;
-                out.push((5.0, again(arrived.hand_off + 1)));
+        let (free, limited) = (self.free.contains(&arrived.band), self.limited.contains(&arrived.volume));
+        let next = || Arrived { hand_off: arrived.hand_off + 1, ..arrived.clone() };
+        // Copies that look like commands of their own.
+        let others = |copies: u64| {
+            let copy = |n| Arrived { command: arrived.command ^ (n << 48), hand_off: 0, ..arrived.clone() };
+            (1..=copies).map(|n| (0.0, copy(n))).collect::<Vec<_>>()
+        };
+        let more = match self.rule {
+            Rule::Twice if self.binding.contains(&arrived.band) && !self.done => {
+                self.done = true;
+                vec![(5.0, next())]
             }
-            // Every tenth comes a second time, long after: some of them to a node that drains by then.
-            Rule::Drain if self.seen.is_multiple_of(10) => out.push((900.0, other(1))),
-            Rule::Cold if now - met < 1500.0 && met > 1000.0 => {
-                out.extend((1..=40).map(|n| (0.0, other(n))));
+            // Held back on the way: some come to a node that has begun to drain meanwhile.
+            Rule::Drain if arrived.band == self.patient.0 => return vec![(self.patient.1, arrived)],
+            // A burst of what came early to a node that joined late.
+            Rule::Cold if free && !limited && now - met < 1500.0 && met > 1000.0 && !self.done => {
+                self.done = true;
+                others(900)
             }
-            Rule::Order if self.ordered.contains(&arrived.band) => {
-                let place = (arrived.host, arrived.key);
-                if let Some(before) = self.last.insert(place, arrived.clone()) {
-                    let hand_off = before.hand_off + 1;
-                    out.push((0.0, Arrived { hand_off, ..before }));
-                }
-            }
-            Rule::Budget if !self.binding.contains(&arrived.band) => out.push((1.0, again(arrived.hand_off + 1))),
-            Rule::Limits if self.limited.contains(&arrived.volume) => {
-                out.extend((1..=20).map(|n| (0.0, other(n))));
-            }
-            _ => {}
-        }
-        out
+            Rule::Budget if free => vec![(1.0, next())],
+            Rule::Limits if free && limited => others(8),
+            _ => Vec::new(),
+        };
+        [vec![(0.0, arrived)], more].concat()
     }
 }
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -1,7 +1,7 @@
 //! Plays a drill: the stand-ins in one thread, the clients in another, hosts as processes, the script here.
 
 use crate::audit::{audit, Evidence, Rule, Verdict};
-use crate::clients::{Clients, Host, Said, Tally};
+use crate::clients::{Clients, Host, Said, Session, Tally};
 use crate::hosts::{HostProcess, Program};
 use crate::plant::plant;
 use crate::sheet::DrillSheet;
@@ -15,9 +15,6 @@
 
 type Ms = f64;
 
-/// How long the hosts have to learn of the nodes before clients begin.
-const SETTLING: Ms = 300.0;
-
 /// What a drill came to.
 #[derive(Serialize)]
 pub struct Drilled {
@@ -104,12 +101,11 @@
     let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
     let program = Program { program, file, list, seed: seed << 16 | 1 };
     let count = host.start.hosts as usize;
-    let hosts = (0..count).map(|n| HostProcess::start(&program, n).map(Some)).collect::<io::Result<Vec<_>>>()?;
+    let hosts =
+        (0..count).map(|n| HostProcess::start(&program, n).map(Some)).collect::<io::Result<Vec<_>>>()?;
     let addresses = hosts.iter().flatten().map(|h| Host { address: Some(h.address) }).collect();
-    let begin = clock.now() + SETTLING;
-    let span = (begin, begin + sheet.time);
-    let deafen = planted == Some(Rule::Lost);
-    let clients = Clients::start(host, sheet, addresses, clock, span, seed, true, deafen)?;
+    let session = Session { record: true, planted, ..Session::open(clock, sheet.time, seed) };
+    let clients = Clients::start(host, sheet, addresses, &session)?;
     let zone = |zone: u64| {
         let of = fleet.nodes.iter().filter(|n| u64::from(n.zone) == zone && !n.spare);
         of.map(|n| n.number).collect()
@@ -122,7 +118,7 @@
             rig.failed.get_or_insert(e);
         }
     };
-    play(&handle, &clock, begin, steps, on, || false);
+    play(&handle, &clock, session.begin, steps, on, || false);
     let Rig { hosts, stalls, failed, .. } = rig;
     if let Some(e) = failed {
         return Err(e);
@@ -155,7 +151,7 @@
 }
 
 /// What a load came to: latencies in milliseconds, counted from when a command was due.
-#[derive(Serialize)]
+#[derive(Clone, Serialize)]
 pub struct LoadReport {
     pub offered_a_second: f64,
     pub settled_a_second: f64,
@@ -172,11 +168,18 @@
 
 /// Offers a file's traffic to a host that runs already.
 pub fn load(host: &HostSheet, sheet: &DrillSheet, address: SocketAddr, seed: u64) -> io::Result<LoadReport> {
-    let clock = Clock::start();
-    let begin = clock.now() + SETTLING;
-    let span = (begin, begin + sheet.time);
+    offer(host, sheet, address, &Session::open(Clock::start(), sheet.time, seed))
+}
+
+/// Offers a session's traffic to one address.
+pub fn offer(
+    host: &HostSheet,
+    sheet: &DrillSheet,
+    address: SocketAddr,
+    session: &Session,
+) -> io::Result<LoadReport> {
     let hosts = vec![Host { address: Some(address) }];
-    let clients = Clients::start(host, sheet, hosts, clock, span, seed, false, false)?;
+    let clients = Clients::start(host, sheet, hosts, session)?;
     let (tally, _) = clients.finish().ok_or_else(|| io::Error::other("the clients' thread failed"))?;
     Ok(report(&tally, sheet))
 }
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -237,10 +237,10 @@
             serial: 0,
         });
         let hello = self.hello();
-        self.to_client(key, &hello);
+        self.tell_client(key, &hello);
     }
 
-    pub fn to_client(&mut self, key: usize, message: &Message) {
+    pub fn tell_client(&mut self, key: usize, message: &Message) {
         if let Some(client) = self.clients.get_mut(index_of(key)) {
             client.connection.queue(message, NOTHING);
             self.touched.push(key);
@@ -402,7 +402,7 @@
         if let Some(client) = self.clients.get_mut(index_of(key)) {
             client.commands.remove(&number);
         }
-        self.to_client(key, &Message::Final(Final { command: number, verdict, back_us, payload }));
+        self.tell_client(key, &Message::Final(Final { command: number, verdict, back_us, payload }));
     }
 
     /// Forgets a command that is answered and of which nothing is out.
@@ -453,12 +453,10 @@
 
     fn owe(&mut self, command: u64, outcome: Outcome, peer: usize) {
         let Some(open) = self.open(command) else { return };
-        for out in open.out.iter_mut().filter(|o| o.peer == Some(peer)) {
-            out.peer = None;
-            let hand_off = out.hand_off;
-            self.owed.push_back((command, hand_off, outcome));
-            return;
-        }
+        let Some(out) = open.out.iter_mut().find(|o| o.peer == Some(peer)) else { return };
+        out.peer = None;
+        let hand_off = out.hand_off;
+        self.owed.push_back((command, hand_off, outcome));
     }
 
     // Storage nodes.
@@ -540,8 +538,7 @@
 
     pub fn greeted(&mut self, key: usize, hello: &Hello) -> Greeted {
         let index = index_of(key);
-        let met =
-            Process { node: hello.number, life: hello.life, started: started(self.now, hello.age_us) };
+        let met = Process { node: hello.number, life: hello.life, started: started(self.now, hello.age_us) };
         let Some(listed) = self.follower.process(self.peers[index].node) else { return Greeted::Wrong };
         let peer = &mut self.peers[index];
         let greeted = peer.contact.greeted(self.now, listed, met);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -157,7 +157,10 @@
     #[test]
     fn a_remembered_list_makes_no_node_older() {
         let mut f = Follower::default();
-        f.heard(0.0, &list(true, 4, &[line(1, State::Ready, 7, 250_000), line(2, State::Ready, 9, LONG_AGO)]));
+        f.heard(
+            0.0,
+            &list(true, 4, &[line(1, State::Ready, 7, 250_000), line(2, State::Ready, 9, LONG_AGO)]),
+        );
         let kept = f.remembered(1000.0);
         let mut again = Follower::default();
         let entries = again.recall(10.0, &kept);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -249,7 +249,9 @@
         let bytes = match std::fs::read(path) {
             Ok(bytes) => bytes,
             Err(e) if e.kind() == ErrorKind::NotFound => return,
-            Err(e) => return tracing::warn!(path = %path.display(), error = %e, "the kept list cannot be read"),
+            Err(e) => {
+                return tracing::warn!(path = %path.display(), error = %e, "the kept list cannot be read")
+            }
         };
         match wire::read(&bytes) {
             Ok(Read::Whole(Message::List(list), used)) if used == bytes.len() => {
@@ -297,7 +299,12 @@
         self.floor.list_answered();
         match self.floor.follower.heard(self.floor.now, list) {
             Heard::News(news, entries) => {
-                tracing::info!(epoch = list.epoch, whole = list.whole, lines = list.lines.len(), "list of nodes");
+                tracing::info!(
+                    epoch = list.epoch,
+                    whole = list.whole,
+                    lines = list.lines.len(),
+                    "list of nodes"
+                );
                 self.desk.listed(self.floor.now, news, &entries);
                 self.floor.nodes_changed();
                 self.remember();
@@ -443,7 +450,7 @@
         let refuse = |floor: &mut Floor, why: &str| {
             let (command, back_us, verdict) = (take.command, 0, Verdict::Bounced);
             let answer = Message::Final(Final { command, verdict, back_us, payload: why.as_bytes() });
-            floor.to_client(key, &answer);
+            floor.tell_client(key, &answer);
         };
         let band = usize::from(take.band);
         let Some(volume) = self.sheet.volumes.get(&take.volume) else {
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -136,7 +136,8 @@
     Some(HostSheet {
         number: part.field("number").whole_or(0..=u64::from(u32::MAX), 0) as u32,
         listen: part.field("listen").address_or(LOOPBACK),
-        list: list.map_or(ListSource { address: LOOPBACK, asked: false, remember: None }, |(source, _)| source),
+        list: list
+            .map_or(ListSource { address: LOOPBACK, asked: false, remember: None }, |(source, _)| source),
         start,
         bands: band_names,
         volumes,
@@ -151,7 +152,10 @@
     let ask_within = match (asked, within.given()) {
         (true, _) => Some(within.time()),
         (false, true) => {
-            p.fault_at("ask_within", "ask_within goes with mode = \"ask\"; a list that is pushed is not asked for");
+            p.fault_at(
+                "ask_within",
+                "ask_within goes with mode = \"ask\"; a list that is pushed is not asked for",
+            );
             None
         }
         (false, false) => None,
@@ -187,7 +191,10 @@
         };
         if band.soft_limit > band.time_limit {
             let (soft, most) = (band.soft_limit, band.time_limit);
-            p.fault_at("soft_limit", format!("soft_limit of {soft}ms lies beyond the time_limit of {most}ms"));
+            p.fault_at(
+                "soft_limit",
+                format!("soft_limit of {soft}ms lies beyond the time_limit of {most}ms"),
+            );
         }
         if band.time_limit <= 4.0 * round && p.field("time_limit").given() {
             p.fault_at("time_limit", format!("time_limit leaves no time beside a round of {round}ms"));
@@ -217,7 +224,10 @@
             p.fault_at("reserve", format!("a reserve of {reserve} lies beyond the limit_rate of {limit}"));
         }
         if (plan.limit_rate > 0.0) != (plan.limit_store > 0.0) {
-            p.fault_at("limit_store", "limit_rate and limit_store go together: a rate and what may come at once");
+            p.fault_at(
+                "limit_store",
+                "limit_rate and limit_store go together: a rate and what may come at once",
+            );
         }
         plan
     };
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -79,7 +79,11 @@
     }
 
     pub fn whole_or(&self, range: RangeInclusive<u64>, absent: u64) -> u64 {
-        if self.given() { self.whole(range) } else { absent }
+        if self.given() {
+            self.whole(range)
+        } else {
+            absent
+        }
     }
 
     pub fn wholes(&self) -> Vec<u64> {
@@ -96,7 +100,11 @@
     }
 
     pub fn text_or(&self, absent: &str) -> String {
-        if self.given() { self.text() } else { absent.to_string() }
+        if self.given() {
+            self.text()
+        } else {
+            absent.to_string()
+        }
     }
 
     /// An address and port as "127.0.0.1:7400".
@@ -106,7 +114,11 @@
     }
 
     pub fn address_or(&self, absent: SocketAddr) -> SocketAddr {
-        if self.given() { self.address().unwrap_or(absent) } else { absent }
+        if self.given() {
+            self.address().unwrap_or(absent)
+        } else {
+            absent
+        }
     }
 
     /// One of a table's names, as what it stands for.
@@ -121,7 +133,11 @@
     }
 
     pub fn one_of_or<T: Copy>(&self, table: &[(&str, T)], absent: T) -> T {
-        if self.given() { self.one_of(table).unwrap_or(absent) } else { absent }
+        if self.given() {
+            self.one_of(table).unwrap_or(absent)
+        } else {
+            absent
+        }
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -99,7 +99,8 @@
         }
     };
     let all = Collected { text, faults: RefCell::default() };
-    let root = Part { all: &all, body: &body, label: None, name: String::new(), at: 0, known: RefCell::default() };
+    let root =
+        Part { all: &all, body: &body, label: None, name: String::new(), at: 0, known: RefCell::default() };
     let made = reader(&root);
     drop(root);
     let faults = all.faults.into_inner();
@@ -195,7 +196,11 @@
     }
 
     fn within(&self) -> String {
-        if self.name.is_empty() { String::new() } else { format!("in {}: ", self.name) }
+        if self.name.is_empty() {
+            String::new()
+        } else {
+            format!("in {}: ", self.name)
+        }
     }
 
     fn value_place(&self, value: &Expression) -> usize {
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -24,7 +24,8 @@
 
 #[test]
 fn all_faults_are_named_at_once_with_their_places() {
-    let text = "host {\n  numbr = 3\n}\nband \"read\" {\n  soft_limit = 200\n  payoff = -1\n}\nbnd \"x\" {}\n";
+    let text =
+        "host {\n  numbr = 3\n}\nband \"read\" {\n  soft_limit = 200\n  payoff = -1\n}\nbnd \"x\" {}\n";
     assert_eq!(
         faults(text),
         [
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -5,7 +5,8 @@
 use crate::{Ms, Seen};
 use magpiewick_link::{listen, Clock, Connection, Poll, Registered, Timers, Woken, NOTHING};
 use magpiewick_nodewire::{
-    self as wire, Code, HandOff, Hello, Line, List, Message, Outcome, Read, Role, State, LONG_AGO, VERSION,
+    self as wire, Code, Final, HandOff, Hello, Line, List, Message, Outcome, Read, Role, State, Verdict,
+    LONG_AGO, VERSION,
 };
 use nanorand::{Rng, WyRand};
 use slab::Slab;
@@ -34,6 +35,8 @@
     pub mark: u64,
     pub units: f64,
     pub payload: Vec<u8>,
+    /// A client asked it of the node itself; for measuring what a host adds.
+    pub direct: bool,
 }
 
 /// What stands between the sockets and a node in a rig that must break a rule on purpose: each hand-off goes
@@ -48,6 +51,7 @@
     serial: u64,
     node: Option<usize>,
     host: u64,
+    greeted: bool,
     watching: bool,
 }
 
@@ -217,7 +221,12 @@
             for key in std::mem::take(&mut woken.readable) {
                 self.readable(key);
             }
-            for index in self.peers.iter().filter(|(_, p)| p.connection.pending() > 0).map(|(i, _)| i).collect::<Vec<_>>()
+            for index in self
+                .peers
+                .iter()
+                .filter(|(_, p)| p.connection.pending() > 0)
+                .map(|(i, _)| i)
+                .collect::<Vec<_>>()
             {
                 if self.peers[index].connection.flush().is_err() {
                     self.end_peer(index);
@@ -254,13 +263,9 @@
 
     pub fn ail(&mut self, node: usize, change: impl FnOnce(&mut Ailing)) {
         change(&mut self.nodes[node].ailing);
-        // What a deaf node does not read must not keep the loop awake.
-        let hears = !self.nodes[node].ailing.deaf;
-        for (_, peer) in self.peers.iter_mut().filter(|(_, p)| p.node == Some(node)) {
-            _ = peer.connection.set_reading(hears);
-        }
-        if let Some(door) = &mut self.doors[node] {
-            _ = door.watch(hears, false);
+        let ungreeted = self.peers.iter().filter(|(_, p)| p.node == Some(node) && !p.greeted);
+        for index in ungreeted.map(|(index, _)| index).collect::<Vec<_>>() {
+            self.greet(index);
         }
         self.work(node);
     }
@@ -282,7 +287,8 @@
         self.nodes[node].up = false;
         self.nodes[node].waiting.clear();
         self.doors[node] = None;
-        let own: Vec<usize> = self.peers.iter().filter(|(_, p)| p.node == Some(node)).map(|(i, _)| i).collect();
+        let own: Vec<usize> =
+            self.peers.iter().filter(|(_, p)| p.node == Some(node)).map(|(i, _)| i).collect();
         for index in own {
             self.see(Seen::Ended { node: number, host: self.peers[index].host });
             self.peers.remove(index).connection.reset();
@@ -303,7 +309,8 @@
     pub fn list_is_down(&mut self, down: bool) {
         self.list_down = down;
         if down {
-            let own: Vec<usize> = self.peers.iter().filter(|(_, p)| p.node.is_none()).map(|(i, _)| i).collect();
+            let own: Vec<usize> =
+                self.peers.iter().filter(|(_, p)| p.node.is_none()).map(|(i, _)| i).collect();
             own.into_iter().for_each(|index| self.peers.remove(index).connection.reset());
         }
     }
@@ -320,7 +327,16 @@
         };
         let age_us = n.started.map_or(LONG_AGO, |at| ((self.now - at).max(0.0) * 1000.0) as u64);
         let (node, shard, zone, life) = (number, n.sheet.shard, n.sheet.zone, n.life);
-        Some(Line { node, shard, zone, state, life, age_us, address: address.octets(), port: n.address.port() })
+        Some(Line {
+            node,
+            shard,
+            zone,
+            state,
+            life,
+            age_us,
+            address: address.octets(),
+            port: n.address.port(),
+        })
     }
 
     fn tell_news(&mut self) {
@@ -375,10 +391,27 @@
             let index = entry.key();
             let Ok(connection) = Connection::accepted(&self.poll, stream, PEERS + index) else { continue };
             self.serial += 1;
-            entry.insert(Peer { connection, serial: self.serial, node, host: 0, watching: false });
-            let hello = self.hello(node);
-            self.peers[index].connection.queue(&hello, NOTHING);
+            entry.insert(Peer {
+                connection,
+                serial: self.serial,
+                node,
+                host: 0,
+                greeted: false,
+                watching: false,
+            });
+            self.greet(index);
+        }
+    }
+
+    /// Greets whoever connected; a deaf node does so once it hears again.
+    fn greet(&mut self, index: usize) {
+        let node = self.peers[index].node;
+        if node.is_some_and(|n| self.nodes[n].ailing.deaf) {
+            return;
         }
+        let hello = self.hello(node);
+        self.peers[index].greeted = true;
+        self.peers[index].connection.queue(&hello, NOTHING);
     }
 
     fn hello(&self, node: Option<usize>) -> Message<'static> {
@@ -456,6 +489,26 @@
                     }
                 }
             }
+            (Message::Take(t), Some(node)) => {
+                let (command, band, write, volume, key) = (t.command, t.band, t.write, t.volume, t.key);
+                let (mark, units, payload, left_us) = (t.mark, t.units, t.payload, t.limit_us);
+                let (hand_off, shard) = (0, self.nodes[node].sheet.shard);
+                let h = HandOff {
+                    command,
+                    hand_off,
+                    band,
+                    write,
+                    volume,
+                    key,
+                    mark,
+                    units,
+                    shard,
+                    left_us,
+                    payload,
+                };
+                let arrived = Arrived { direct: true, ..self.arrived(index, node, &h) };
+                self.arrive(node, arrived);
+            }
             (Message::Cancel { command, hand_off }, Some(node)) => {
                 let number = self.nodes[node].sheet.number;
                 self.see(Seen::Cancelled { node: number, host, command: *command, hand_off: *hand_off });
@@ -489,6 +542,7 @@
             mark: h.mark,
             units: f64::from(h.units),
             payload: h.payload.to_vec(),
+            direct: false,
         }
     }
 
@@ -519,7 +573,7 @@
         let (unit_work, cold) = (self.sheet.unit_work, self.sheet.cold);
         loop {
             let n = &mut self.nodes[node];
-            if !n.up || n.running >= n.sheet.cores || n.waiting.is_empty() {
+            if !n.up || n.ailing.deaf || n.running >= n.sheet.cores || n.waiting.is_empty() {
                 return;
             }
             if self.now < n.still_until {
@@ -601,6 +655,11 @@
         }
         let n = &self.nodes[node];
         let (command, hand_off) = (a.command, a.hand_off);
+        if a.direct {
+            let verdict = if code == Code::Settled { Verdict::Settled } else { Verdict::Bounced };
+            let answer = Message::Final(Final { command, verdict, back_us: 0, payload });
+            return peer.connection.queue(&answer, NOTHING);
+        }
         let message = Message::Outcome(Outcome {
             command,
             hand_off,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,10 +18,19 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Seen {
     /// A node's process started; `cold` where it cannot do all of its work yet.
-    Started { node: u32, life: u64, cold: bool },
-    Stopped { node: u32, life: u64 },
+    Started {
+        node: u32,
+        life: u64,
+        cold: bool,
+    },
+    Stopped {
+        node: u32,
+        life: u64,
+    },
     /// A cold node was pushed over.
-    Fell { node: u32 },
+    Fell {
+        node: u32,
+    },
     HandOff {
         node: u32,
         host: u64,
@@ -34,12 +43,36 @@
         units: f64,
     },
     /// A command's effect took place.
-    Ran { node: u32, host: u64, command: u64, band: u16, mark: u64 },
+    Ran {
+        node: u32,
+        host: u64,
+        command: u64,
+        band: u16,
+        mark: u64,
+    },
     /// An answer left; `ran` is false where it is proof that nothing ran.
-    Answered { node: u32, host: u64, command: u64, hand_off: u16, ran: bool },
-    Cancelled { node: u32, host: u64, command: u64, hand_off: u16 },
+    Answered {
+        node: u32,
+        host: u64,
+        command: u64,
+        hand_off: u16,
+        ran: bool,
+    },
+    Cancelled {
+        node: u32,
+        host: u64,
+        command: u64,
+        hand_off: u16,
+    },
     /// The connection of a host ended, and with it the wait for all that was out on it.
-    Ended { node: u32, host: u64 },
+    Ended {
+        node: u32,
+        host: u64,
+    },
     /// A host was told that a node takes nothing new any more.
-    Told { host: u64, node: u32, life: u64 },
+    Told {
+        host: u64,
+        node: u32,
+        life: u64,
+    },
 }
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -17,7 +17,7 @@
     pub slow: f64,
     /// Turns everything away.
     pub full: bool,
-    /// Neither reads nor accepts.
+    /// Greets nobody, begins nothing and answers nothing; what comes is noted when it comes, for the record.
     pub deaf: bool,
     /// Breaks the next answer off in its middle, and the connection with it.
     pub breaking: bool,
@@ -95,7 +95,11 @@
     /// The part of its work that it can do now.
     pub fn warmth(&self, now: Ms, cold: &Cold) -> f64 {
         let age = self.started.map_or(f64::INFINITY, |at| now - at);
-        if age >= cold.time { 1.0 } else { cold.share + (1.0 - cold.share) * (age / cold.time).max(0.0) }
+        if age >= cold.time {
+            1.0
+        } else {
+            cold.share + (1.0 - cold.share) * (age / cold.time).max(0.0)
+        }
     }
 
     /// How long a command's work takes from now on.
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -126,7 +126,9 @@
             let node = *whom as u32;
             match self.kind {
                 Kind::Silent => both(&mut steps, Step::Silent(node, true), Step::Silent(node, false)),
-                Kind::AnswersLost => both(&mut steps, Step::Losing(node, self.amount), Step::Losing(node, 0.0)),
+                Kind::AnswersLost => {
+                    both(&mut steps, Step::Losing(node, self.amount), Step::Losing(node, 0.0))
+                }
                 Kind::Slow => both(&mut steps, Step::Slow(node, self.amount), Step::Slow(node, 1.0)),
                 Kind::ReportsLate => both(&mut steps, Step::Meter(node, true), Step::Meter(node, false)),
                 Kind::FullQueue => both(&mut steps, Step::Full(node, true), Step::Full(node, false)),
@@ -136,7 +138,9 @@
                     both(&mut steps, Step::Unlist(node), Step::List(node));
                 }
                 Kind::ResetMidFrame => both(&mut steps, Step::Breaking(node), Step::Breaking(node)),
-                Kind::HostStall => both(&mut steps, Step::HostStall(node, true), Step::HostStall(node, false)),
+                Kind::HostStall => {
+                    both(&mut steps, Step::HostStall(node, true), Step::HostStall(node, false))
+                }
                 Kind::HostKill => both(&mut steps, Step::HostKill(node), Step::HostStart(node)),
                 Kind::Surge => both(&mut steps, Step::Surge(*whom, self.amount), Step::Surge(*whom, 1.0)),
                 Kind::Ageing => {
