--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,367 @@
+//! A host on sockets whose other ends are held by the test: what it does when they misbehave.
+
+use magpiewick_gateway::sheet::{host, HostSheet};
+use magpiewick_gateway::{Gateway, HostEnd};
+use magpiewick_nodewire::*;
+use magpiewick_settings::read_text;
+use std::io::{Read as _, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const SETTINGS: &str = r#"
+host {
+  most_units = 4
+  round = "5ms"
+  frame_within = "300ms"
+  client_buffer = 65536
+  most_clients = 1100
+}
+band "read" {
+  soft_limit = "2s"
+  time_limit = "4s"
+  repeats = "retriable"
+}
+band "order" {
+  soft_limit = "2s"
+  time_limit = "4s"
+  repeats = "binding"
+}
+plan "all" {
+  rate = 1000
+}
+volume "v" {
+  id = 1
+  plan = "all"
+  shards = [0]
+}
+"#;
+
+/// One end of a connection that the test holds.
+struct End {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl End {
+    fn new(stream: TcpStream) -> End {
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        End { stream, bytes: Vec::new() }
+    }
+
+    fn say(&mut self, message: &Message) {
+        let mut bytes = Vec::new();
+        write(message, &mut bytes);
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// The next message that `pick` takes, others passed over; none at the connection's end.
+    fn hear<T>(&mut self, pick: impl Fn(&Message) -> Option<T>) -> Option<T> {
+        loop {
+            let (mut found, mut used) = (None, 0);
+            while let Ok(Read::Whole(message, n)) = read(&self.bytes[used..]) {
+                used += n;
+                found = pick(&message);
+                if found.is_some() {
+                    break;
+                }
+            }
+            self.bytes.drain(..used);
+            if found.is_some() {
+                return found;
+            }
+            let mut piece = [0; 65536];
+            match self.stream.read(&mut piece) {
+                Ok(n) if n > 0 => self.bytes.extend_from_slice(&piece[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => panic!("nothing came"),
+                _ => return None,
+            }
+        }
+    }
+
+    fn answer(&mut self) -> Option<(u64, Verdict, String)> {
+        self.hear(|m| match m {
+            Message::Final(f) => {
+                let why = f.payload.get(..f.payload.len().min(40)).unwrap_or_default();
+                Some((f.command, f.verdict, String::from_utf8_lossy(why).into_owned()))
+            }
+            _ => None,
+        })
+    }
+
+    fn hand_off(&mut self) -> Option<(u64, u16)> {
+        self.hear(|m| match m {
+            Message::HandOff(h) => Some((h.command, h.hand_off)),
+            _ => None,
+        })
+    }
+
+    fn take(&mut self, command: u64, band: u16, payload: &[u8]) {
+        let (volume, key, mark, units, limit_us) = (1, 7 + command, command, 1.0, 4_000_000);
+        let write = !payload.is_empty();
+        self.say(&Message::Take(Take { command, band, write, volume, key, mark, units, limit_us, payload }));
+    }
+
+    fn greet(&mut self, life: u64, age_us: u64) {
+        let (lowest, highest, role, number) = (VERSION, VERSION, Role::Node, 3);
+        self.say(&Message::Hello(Hello { lowest, highest, role, number, life, age_us }));
+    }
+
+    fn settle(&mut self, (command, hand_off): (u64, u16), payload: &[u8]) {
+        self.say(&outcome(command, hand_off, Code::Settled, payload));
+    }
+}
+
+fn outcome(command: u64, hand_off: u16, code: Code, payload: &[u8]) -> Message<'_> {
+    let (used, others, queue, busy) = (None, 0.0, 0, 0.0);
+    Message::Outcome(Outcome { command, hand_off, code, used, others, queue, busy, payload })
+}
+
+struct Rig {
+    address: SocketAddr,
+    list: End,
+    node: TcpListener,
+    stop: UnixStream,
+    host: JoinHandle<HostEnd>,
+}
+
+impl Rig {
+    /// A host that has heard of one node, of the life 1, which started so long ago.
+    fn start(age_us: u64) -> Rig {
+        let list = TcpListener::bind("127.0.0.1:0").unwrap();
+        let node = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut sheet: HostSheet = read_text("test", SETTINGS, |r| host(r, 1)).unwrap().unwrap();
+        sheet.list.address = list.local_addr().unwrap();
+        let (stop, other) = UnixStream::pair().unwrap();
+        let gateway = Gateway::bind(sheet, other, 99).unwrap();
+        let address = gateway.address();
+        let host = std::thread::spawn(move || gateway.run().unwrap());
+        let mut list = End::new(list.accept().unwrap().0);
+        list.hear(|m| matches!(m, Message::Watch { .. }).then_some(()));
+        let mut rig = Rig { address, list, node, stop, host };
+        rig.tell(true, 1, State::Ready, 1, age_us);
+        rig
+    }
+
+    fn tell(&mut self, whole: bool, epoch: u64, state: State, life: u64, age_us: u64) {
+        let port = self.node.local_addr().unwrap().port();
+        let (node, shard, zone, address) = (3, 0, 0, [127, 0, 0, 1]);
+        let lines = vec![Line { node, shard, zone, state, life, age_us, address, port }];
+        self.list.say(&Message::List(List { whole, epoch, lines }));
+    }
+
+    fn client(&self) -> End {
+        End::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    fn accept(&self) -> End {
+        End::new(self.node.accept().unwrap().0)
+    }
+
+    /// The node's end of the host's connection, greeted as the listed process.
+    fn greeted(&self) -> End {
+        let mut node = self.accept();
+        node.greet(1, LONG_AGO);
+        node
+    }
+
+    fn end(mut self) -> HostEnd {
+        self.stop.write_all(&[1]).unwrap();
+        self.host.join().unwrap()
+    }
+}
+
+#[test]
+fn a_command_gets_one_answer_whatever_its_node_says_twice() {
+    let rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.take(1, 0, &[]);
+    let mut node = rig.greeted();
+    let out = node.hand_off().unwrap();
+    node.settle(out, b"first");
+    node.settle(out, b"second");
+    node.say(&outcome(out.0, 9, Code::Error, &[]));
+    node.say(&outcome(12345, 0, Code::Settled, &[]));
+    client.take(2, 0, &[]);
+    let next = node.hand_off().unwrap();
+    node.settle(next, b"third");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, "first".to_string())));
+    assert_eq!(client.answer(), Some((2, Verdict::Settled, "third".to_string())));
+    assert_eq!(rig.end(), HostEnd::Stopped);
+}
+
+#[test]
+fn an_answer_that_breaks_off_in_its_frame_may_have_run() {
+    let rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.take(1, 1, b"paid");
+    let mut node = rig.greeted();
+    let (command, hand_off) = node.hand_off().unwrap();
+    let mut frame = Vec::new();
+    write(&outcome(command, hand_off, Code::Settled, b"done"), &mut frame);
+    node.stream.write_all(&frame[..frame.len() / 2]).unwrap();
+    drop(node);
+    assert_eq!(client.answer(), Some((1, Verdict::Scrapped, "reset".to_string())));
+    rig.end();
+}
+
+#[test]
+fn a_node_that_is_not_there_never_ran_anything() {
+    let mut rig = Rig::start(LONG_AGO);
+    // The port is free again: connections to it are refused.
+    rig.node = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = rig.client();
+    client.take(1, 1, b"paid");
+    let (command, verdict, _) = client.answer().unwrap();
+    assert_eq!((command, verdict), (1, Verdict::Bounced));
+    rig.end();
+}
+
+#[test]
+fn nothing_goes_to_a_process_that_started_before_the_listed_one() {
+    let rig = Rig::start(1_000_000);
+    let mut client = rig.client();
+    client.take(1, 1, b"paid");
+    for _ in 0..2 {
+        let mut node = rig.accept();
+        node.greet(2, 60_000_000);
+        assert_eq!(node.hand_off(), None, "a hand-off reached an old process");
+    }
+    let mut node = rig.accept();
+    node.greet(1, 1_100_000);
+    let out = node.hand_off().unwrap();
+    node.settle(out, &[]);
+    assert_eq!(client.answer().map(|a| a.1), Some(Verdict::Settled));
+    rig.end();
+}
+
+#[test]
+fn what_waited_for_a_process_is_decided_anew_for_its_successor() {
+    let rig = Rig::start(60_000_000);
+    let mut client = rig.client();
+    client.take(1, 1, b"paid");
+    let mut node = rig.accept();
+    node.greet(2, 5_000);
+    let (_, hand_off) = node.hand_off().unwrap();
+    assert_eq!(hand_off, 1, "the hand-off that was meant for the old process was counted as ended");
+    rig.end();
+}
+
+#[test]
+fn a_drain_takes_back_what_has_not_left() {
+    let mut rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    // More than the kernel takes while the node does not read.
+    let (payload, count) = (vec![5; 1 << 20], 40);
+    client.take(100, 0, &[]);
+    let mut node = rig.greeted();
+    let first = node.hand_off().unwrap();
+    let writer = std::thread::spawn(move || {
+        (1..=count).for_each(|command| client.take(command, 1, &payload));
+        client
+    });
+    node.settle(first, &[]);
+    // Reads now and then, so that the window opens, and never all.
+    let mut whole = Vec::new();
+    for _ in 0..6 {
+        let out = node.hand_off().unwrap();
+        whole.push(out.0);
+        node.settle(out, &[]);
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    rig.tell(false, 2, State::Draining, 1, LONG_AGO);
+    let mut client = writer.join().unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    // What is read from here on had left before the notice, or the connection broke in the middle of it.
+    node.stream.set_read_timeout(Some(Duration::from_millis(1500))).unwrap();
+    let late = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| while node.hand_off().is_some() {}));
+    drop(late);
+    let mut ended = [0; 3];
+    for _ in 0..=count {
+        let (_, verdict, _) = client.answer().unwrap();
+        ended[verdict as usize] += 1;
+    }
+    assert_eq!(ended.iter().sum::<u64>(), count + 1);
+    assert!(ended[Verdict::Settled as usize] >= 7 && ended[Verdict::Bounced as usize] > 0, "{ended:?}");
+    rig.end();
+}
+
+#[test]
+fn a_client_with_half_a_frame_is_let_go_and_idle_ones_cost_nobody() {
+    let rig = Rig::start(LONG_AGO);
+    let idle: Vec<End> = (0..1000).map(|_| rig.client()).collect();
+    let mut half = rig.client();
+    half.stream.write_all(&[9, 0, 0, 0, 9]).unwrap();
+    let mut client = rig.client();
+    client.take(1, 0, &[]);
+    let mut node = rig.greeted();
+    let out = node.hand_off().unwrap();
+    node.settle(out, &[]);
+    assert_eq!(client.answer().map(|a| a.1), Some(Verdict::Settled));
+    assert_eq!(half.answer(), None, "the half frame's client was kept");
+    drop(idle);
+    rig.end();
+}
+
+#[test]
+fn a_client_that_vanishes_leaves_its_binding_write_to_end_alone() {
+    let rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.take(1, 1, b"paid");
+    let mut node = rig.greeted();
+    let out = node.hand_off().unwrap();
+    drop(client);
+    let mut other = rig.client();
+    other.take(1, 0, &[]);
+    let second = node.hand_off().unwrap();
+    node.settle(out, &[]);
+    node.settle(second, b"other");
+    assert_eq!(other.answer(), Some((1, Verdict::Settled, "other".to_string())));
+    assert_eq!(rig.end(), HostEnd::Stopped);
+}
+
+#[test]
+fn a_client_that_never_reads_is_held_back_and_others_are_served() {
+    let rig = Rig::start(LONG_AGO);
+    let mut deaf = rig.client();
+    deaf.take(1, 0, &[]);
+    let mut node = rig.greeted();
+    let big = vec![1; 1 << 20];
+    let out = node.hand_off().unwrap();
+    node.settle(out, &big);
+    // Its answers fill what the kernel takes and then what the host keeps for it.
+    for command in 2..60 {
+        deaf.take(command, 0, &[]);
+    }
+    let mut served = 1;
+    node.stream.set_read_timeout(Some(Duration::from_millis(700))).unwrap();
+    while let Ok(Some(out)) = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| node.hand_off())) {
+        node.settle(out, &big);
+        served += 1;
+    }
+    assert!(served < 60, "all was read from a client that does not read");
+    node.stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut client = rig.client();
+    client.take(1, 0, &[]);
+    let out = node.hand_off().unwrap();
+    node.settle(out, b"here");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, "here".to_string())));
+    rig.end();
+}
+
+#[test]
+fn a_host_that_is_told_to_stop_answers_what_it_has_and_takes_nothing_new() {
+    let mut rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.take(1, 0, &[]);
+    let mut node = rig.greeted();
+    let out = node.hand_off().unwrap();
+    rig.stop.write_all(&[1]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    client.take(2, 0, &[]);
+    assert_eq!(client.answer(), Some((2, Verdict::Bounced, "stopping".to_string())));
+    node.settle(out, b"last");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, "last".to_string())));
+    assert_eq!(rig.host.join().unwrap(), HostEnd::Stopped);
+}
