--- /dev/null
+++ b/crates/desk/tests/answers.rs
@@ -0,0 +1,145 @@
+//! The desk beside a plain count of what it owes: whatever comes in whatever order, each command gets one
+//! final answer, nothing is sent after it, and nothing is kept once all is over.
+
+use magpiewick::*;
+use magpiewick_desk::{Desk, Reason, Taken, World};
+use quickcheck::quickcheck;
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+struct Count {
+    out: Vec<(u64, u32)>,
+    /// Final answers by command; the client's going counts as one.
+    ended: BTreeMap<u64, u32>,
+    wrong: Option<String>,
+}
+
+impl World for Count {
+    fn send(&mut self, command: u64, hand_off: u32, _: u32, time_out: Ms) {
+        if self.ended.contains_key(&command) || time_out <= 0.0 {
+            self.wrong = Some(format!("{command} was sent after its end"));
+        }
+        self.out.push((command, hand_off));
+    }
+
+    fn cancel(&mut self, command: u64, hand_off: u32) {
+        if !self.out.contains(&(command, hand_off)) {
+            self.wrong = Some(format!("a cancel of {command}, which is not out"));
+        }
+    }
+
+    fn answer(&mut self, command: u64, _: Ending, _: Reason) {
+        *self.ended.entry(command).or_default() += 1;
+    }
+
+    fn probe(&mut self, _: u32) {}
+
+    fn watch(&mut self) {}
+
+    fn wake(&mut self, _: Ms) {}
+}
+
+fn start() -> Start {
+    let band = |repeats, in_order| {
+        let (group, memory, payoff) = (Group::Zone, 300.0, 1.0);
+        Band { soft_limit: 100.0, time_limit: 400.0, payoff, repeats, group, memory, in_order }
+    };
+    let (price, weight, rate, reserve, limit_rate, limit_store) = (1.0, 1.0, 50.0, 20.0, 0.0, 0.0);
+    Start {
+        seed: 3,
+        hosts: 1.0,
+        bands: vec![band(Repeats::Retriable, false), band(Repeats::Binding, true)],
+        plans: vec![Plan { price, weight, rate, reserve, limit_rate, limit_store }],
+        round: 2.0,
+        max_hand_offs: 3,
+        may_cancel: true,
+        longest_back: 100.0,
+        ask_within: None,
+        cold_share: 1.0,
+        cold_time: 0.0,
+        cold_units: 0.0,
+        fall_time: 0.0,
+        fall_multiple: 1.0,
+        order_rest: 20.0,
+        budget: None,
+        most_units: 4.0,
+        mean_units: 1.0,
+        share_payoff: 0.3,
+    }
+}
+
+const OUTCOMES: [Outcome; 7] = [
+    Outcome::Settled,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Cancelled,
+];
+
+fn outcome(desk: &mut Desk, world: &mut Count, now: Ms, place: usize, outcome: Outcome) {
+    let (command, _) = world.out.remove(place);
+    let over = outcome == Outcome::Settled;
+    if over {
+        let ended = world.ended.entry(command).or_default();
+        *ended = (*ended).max(1);
+    }
+    let answer = Answer { outcome, latency: 5.0, over, used: None, others: 0.0 };
+    desk.outcome(now, command, answer, world);
+}
+
+fn take(desk: &mut Desk, world: &mut Count, now: Ms, id: u64, (a, b): (u8, u8)) {
+    let (band, shard) = (usize::from(a % 2), Some(usize::from(b % 2)));
+    let (units, hosts, time_limit) = (1.0, 1.0, 400.0);
+    let command = Command { band, plan: 0, volume: 0, key: None, units, shard, hosts, time_limit };
+    desk.take(now, Taken { id, key: u64::from(a % 5), volume: 9, command }, world);
+}
+
+quickcheck! {
+    fn each_command_ends_once(steps: Vec<(u8, u8, u8)>) -> Result<(), String> {
+        let (mut desk, mut world, mut now) = (Desk::new(start(), 0.0), Count::default(), 0.0);
+        let entry = |n: usize| Entry { node: 0, zone: 0, shard: n, ..Entry::default() };
+        desk.listed(now, News::Whole, &[(70, entry(0)), (80, entry(1))]);
+        let mut taken = 0;
+        for (step, a, b) in steps {
+            now += f64::from(b % 16);
+            match step % 4 {
+                0 | 1 => {
+                    taken += 1;
+                    take(&mut desk, &mut world, now, taken, (a, b));
+                }
+                2 if !world.out.is_empty() => {
+                    let place = usize::from(a) % world.out.len();
+                    outcome(&mut desk, &mut world, now, place, OUTCOMES[usize::from(b) % OUTCOMES.len()]);
+                }
+                3 if taken > 0 => {
+                    let id = 1 + u64::from(a) % taken;
+                    // The client of an ended command has nothing to give up.
+                    if !world.ended.contains_key(&id) {
+                        desk.abandoned(now, id);
+                        world.ended.insert(id, 1);
+                    }
+                }
+                _ => {}
+            }
+            desk.run(now, &mut world);
+        }
+        // In the end every hand-off times out, and every client's time is over.
+        for _ in 0..100 {
+            now += 10.0;
+            desk.run(now, &mut world);
+            while !world.out.is_empty() {
+                outcome(&mut desk, &mut world, now, 0, Outcome::TimedOut);
+            }
+        }
+        let many = world.ended.iter().find(|(_, times)| **times != 1);
+        match (world.wrong, many) {
+            (Some(wrong), _) => Err(wrong),
+            (None, Some((command, times))) => Err(format!("{command} ended {times} times")),
+            (None, None) if world.ended.len() as u64 != taken => Err("a command never ended".to_string()),
+            (None, None) if desk.in_hand() != 0 => Err("what is over is kept".to_string()),
+            _ => Ok(()),
+        }
+    }
+}
