Let held commands follow their data to another shard

Need: extents move while hosts serve. A command whose data moved must end right: sent anew within hand-offs and budget, or bounced; its limit not drawn twice, its key's order kept, a fingerprinted write not sent out of its group.

What waits leaves its line as one given up does. Guards against hand-offs spent on nodes that do not hold the data; a wrong piece of news costs a hand-off.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -49,6 +49,7 @@
             Reason::After(Outcome::Reset) => "reset",
             Reason::After(Outcome::Cancelled) => "cancelled",
             Reason::After(Outcome::Moot) => "moot",
+            Reason::After(Outcome::Moved) => "moved",
         }
     }
 }
@@ -183,6 +184,14 @@
         }
     }
 
+    /// The data of a command lies on another shard now.
+    pub fn moved(&mut self, now: Ms, id: u64, shard: usize) {
+        let Some(&slot) = self.by_id.get(&id) else { return };
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        c.command.shard = Some(shard);
+        self.brain.moved(now, slot, shard);
+    }
+
     /// Does all that is due and says when to come again.
     pub fn run(&mut self, now: Ms, world: &mut impl World) {
         loop {
--- a/crates/desk/tests/answers.rs
+++ b/crates/desk/tests/answers.rs
@@ -1,10 +1,10 @@
 //! The desk beside a plain count of what it owes: whatever comes in whatever order, each command gets one
 //! final answer, nothing is sent after it, and nothing is kept once all is over.
 
-use magpiewick::*;
+use magpiewick::{Answer, Band, Command, Ending, Group, Ms, News, Outcome, Plan, Repeats, Start};
 use magpiewick_desk::{Desk, Reason, Taken, World};
 use quickcheck::quickcheck;
-use std::collections::BTreeMap;
+use std::collections::btree_map::{BTreeMap, Entry};
 
 #[derive(Default)]
 struct Count {
@@ -99,7 +99,7 @@
 quickcheck! {
     fn each_command_ends_once(steps: Vec<(u8, u8, u8)>) -> Result<(), String> {
         let (mut desk, mut world, mut now) = (Desk::new(start(), 0.0), Count::default(), 0.0);
-        let entry = |n: usize| Entry { node: 0, zone: 0, shard: n, ..Entry::default() };
+        let entry = |n: usize| magpiewick::Entry { shard: n, ..Default::default() };
         desk.listed(now, News::Whole, &[(70, entry(0)), (80, entry(1))]);
         let mut taken = 0;
         for (step, a, b) in steps {
@@ -116,9 +116,9 @@
                 3 if taken > 0 => {
                     let id = 1 + u64::from(a) % taken;
                     // The client of an ended command has nothing to give up.
-                    if !world.ended.contains_key(&id) {
+                    if let Entry::Vacant(left) = world.ended.entry(id) {
                         desk.abandoned(now, id);
-                        world.ended.insert(id, 1);
+                        left.insert(1);
                     }
                 }
                 _ => {}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -464,6 +464,15 @@
         }
     }
 
+    /// The data of a held command lies on another shard now: what waits follows it before it is sent, with its
+    /// tag given back where it stood; what is out ends where it is. Guards against hand-offs spent on nodes that
+    /// do not hold the data, whoever moved it; it could harm where news of moves is wrong: a hand-off each.
+    pub fn moved(&mut self, now: Ms, id: usize, shard: usize) {
+        let Some(Some(h)) = self.held.get_mut(id) else { return };
+        (h.cmd.shard, h.not_before) = (Some(shard), now.min(h.not_before));
+        self.unline(id);
+    }
+
     fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
         self.taken.add(now, 1.0);
         self.turns += 1;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -113,12 +113,14 @@
     Reset,
     Cancelled,
     Moot,
+    /// The node does not hold the command's piece of data any more.
+    Moved,
 }
 
 impl Outcome {
     /// Whether this outcome is proof that nothing ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Moved)
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -204,6 +204,13 @@
         }
     }
 
+    /// A command's data lies on another shard now.
+    pub fn moved(&mut self, id: usize, shard: usize) {
+        self.seen[id].cmd.shard = Some(shard);
+        self.brain.moved(self.now, id, shard);
+        self.drain();
+    }
+
     fn drain(&mut self) -> Ms {
         for _ in 0..10_000 {
             match self.brain.wait(self.now) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -342,3 +342,55 @@
     w.give_up(id);
     assert_eq!(w.cancelled, [id]);
 }
+
+#[test]
+fn what_waits_follows_its_data_and_is_not_charged_where_it_left() {
+    let mut w = full(start());
+    let held: Vec<usize> = (0..3).map(|_| w.take(in_volume(1))).collect();
+    assert!(held.iter().all(|&id| sends(&w, id) == 0));
+    w.moved(held[1], 1);
+    assert_eq!(w.seen[held[1]].hand_offs.iter().map(|h| h.node).collect::<Vec<_>>(), [1]);
+    assert!(sends(&w, held[0]) == 0 && sends(&w, held[2]) == 0);
+}
+
+#[test]
+fn a_moved_command_is_sent_anew_within_the_budget_and_its_limit_is_not_drawn_twice() {
+    let mut w = World::new(start());
+    w.pass(2000.0);
+    // Binding, with a limit that holds for one such command only.
+    let limited = |shard| Command { band: 2, plan: 1, units: 4.0, shard: Some(shard), ..in_volume(5) };
+    let id = w.take(limited(0));
+    assert_eq!(sends(&w, id), 1);
+    w.outcome(id, Outcome::Moved);
+    assert_eq!(sends(&w, id), 1, "sent again where the data is no more");
+    w.moved(id, 1);
+    assert_eq!(w.seen[id].hand_offs.iter().map(|h| h.node).collect::<Vec<_>>(), [0, 1]);
+    w.outcome(id, Outcome::Settled);
+    // The model of the rules has counted one draw; a second one would leave less than is there.
+    let next = w.take(Command { units: 1.0, ..limited(1) });
+    w.pass(60.0);
+    assert_eq!(sends(&w, next), 1);
+}
+
+#[test]
+fn a_fingerprinted_command_that_may_have_run_does_not_follow_its_data_out_of_its_group() {
+    let mut w = World::new(start());
+    let id = w.take(Command { band: 1, key: Some(3), ..in_volume(1) });
+    w.outcome(id, Outcome::Reset);
+    w.moved(id, 1);
+    w.pass(500.0);
+    assert!(w.seen[id].hand_offs.iter().all(|h| h.node == 0));
+    assert_eq!(w.seen[id].answered, Some(Some(Ending::Scrapped)));
+}
+
+#[test]
+fn a_node_that_gave_data_away_is_no_worse_for_it() {
+    let mut w = World::new(start());
+    for _ in 0..2 {
+        let id = w.take(in_volume(1));
+        w.outcome(id, Outcome::Moved);
+        w.moved(id, 1);
+    }
+    let other = w.take(in_volume(2));
+    assert_eq!(sends(&w, other), 1, "the node rests though nothing ails it");
+}
