--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -359,6 +359,13 @@
         "hand-offs {}, further {}; hosts ended with {:?}",
         d.verdict.hand_offs, d.verdict.further, d.exit_codes
     );
+    if d.verdict.switched > 0 {
+        let v = &d.verdict;
+        println!(
+            "extents switched {}; stale hand-offs {}, their commands settled {}, bounced {}, scrapped {}",
+            v.switched, v.stale, v.stale_settled, v.stale_bounced, v.stale_scrapped
+        );
+    }
     for rule in Rule::ALL {
         let found: Vec<_> = d.verdict.findings.iter().filter(|f| f.rule == rule).collect();
         let word = if found.is_empty() { "kept" } else { "BROKEN" };
--- a/crates/cli/tests/drills.rs
+++ b/crates/cli/tests/drills.rs
@@ -42,7 +42,7 @@
 #[test]
 fn each_planted_breach_is_named_and_no_other() {
     kept("plants.hcl", "5");
-    for rule in ["lost", "twice", "drain", "cold", "order", "budget", "limits"] {
+    for rule in ["lost", "twice", "drain", "cold", "order", "budget", "limits", "data"] {
         let (code, found) = drill("plants.hcl", &["--plant", rule]);
         assert_eq!(code, Some(1), "{rule}: {found:#}");
         let findings = found["findings"].as_array().unwrap();
@@ -50,3 +50,12 @@
         assert!(findings.iter().all(|f| f["rule"] == rule), "{rule}: {found:#}");
     }
 }
+
+#[test]
+fn data_that_moves_under_load_is_neither_lost_nor_served_by_two() {
+    for seed in ["1", "2", "3"] {
+        let found = kept("extents.hcl", seed);
+        let count = |name: &str| found[name].as_u64().unwrap();
+        assert!(count("switched") >= 10 && count("stale") > 0, "{found:#}");
+    }
+}
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -24,14 +24,24 @@
     Order,
     Budget,
     Limits,
+    /// Not one of the seven: an acknowledged write is where its piece of data lies.
+    Data,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 7] =
-        [Rule::Lost, Rule::Twice, Rule::Drain, Rule::Cold, Rule::Order, Rule::Budget, Rule::Limits];
+    pub const ALL: [Rule; 8] = [
+        Rule::Lost,
+        Rule::Twice,
+        Rule::Drain,
+        Rule::Cold,
+        Rule::Order,
+        Rule::Budget,
+        Rule::Limits,
+        Rule::Data,
+    ];
 
     pub fn name(self) -> &'static str {
-        ["lost", "twice", "drain", "cold", "order", "budget", "limits"][self as usize]
+        ["lost", "twice", "drain", "cold", "order", "budget", "limits", "data"][self as usize]
     }
 }
 
@@ -60,6 +70,12 @@
     pub reached: f64,
     pub hand_offs: u64,
     pub further: u64,
+    /// Hand-offs that met a node without the data, what became of their commands, and changes of owners.
+    pub stale: u64,
+    pub stale_settled: u64,
+    pub stale_bounced: u64,
+    pub stale_scrapped: u64,
+    pub switched: u64,
 }
 
 /// All that is known of a run.
@@ -71,6 +87,8 @@
     pub said: &'a [(Ms, Said)],
     /// Hosts that the script stopped where they stood: number, from, to.
     pub stalls: &'a [(usize, Ms, Ms)],
+    /// What the owner of each piece of data holds at the end: volume, key, what was written.
+    pub stored: &'a [(u64, u64, Vec<u8>)],
 }
 
 /// A try and how it ended for its client.
@@ -131,6 +149,8 @@
     a.order();
     a.budget();
     a.limits();
+    a.data();
+    a.stale();
     a.payoff();
     a.verdict.findings.sort_by(|x, y| x.at.total_cmp(&y.at));
     a.verdict
@@ -419,10 +439,10 @@
     /// Rule 5: commands of one key at one host run one at a time, in the order taken.
     fn order(&mut self) {
         let (noise, rest) = (self.e.drill.noise, self.e.host.start.order_rest);
-        let mut lines: BTreeMap<(u64, u64), Vec<usize>> = BTreeMap::new();
+        let mut lines: BTreeMap<(u64, u64, u64), Vec<usize>> = BTreeMap::new();
         for (i, tried) in self.tried.iter().enumerate() {
             if self.e.host.start.bands[usize::from(tried.t.band)].in_order {
-                lines.entry((tried.t.host, tried.t.key)).or_default().push(i);
+                lines.entry((tried.t.host, tried.t.volume, tried.t.key)).or_default().push(i);
             }
         }
         let mut found = Vec::new();
@@ -515,6 +535,48 @@
         }
     }
 
+    /// Each piece of data holds, where it lies now, what was written to it last, wherever that was.
+    fn data(&mut self) {
+        let mut last: BTreeMap<(u64, u64), (Ms, u64)> = BTreeMap::new();
+        for (at, seen) in self.e.seen {
+            if let Seen::Ran { volume, key, mark, write: true, .. } = *seen {
+                last.insert((volume, key), (*at, mark));
+            }
+        }
+        let mark = |payload: &[u8]| payload.first_chunk::<8>().map_or(0, |b| u64::from_le_bytes(*b));
+        let held: HashMap<(u64, u64), u64> =
+            self.e.stored.iter().map(|(volume, key, payload)| ((*volume, *key), mark(payload))).collect();
+        self.checked(Rule::Data, last.len());
+        for (piece, (at, mark)) in last {
+            if held.get(&piece) != Some(&mark) {
+                let what = format!("key {} of volume {} holds {:?}", piece.1, piece.0, held.get(&piece));
+                self.find(Rule::Data, at, None, Some(mark), what);
+            }
+        }
+    }
+
+    /// Counts what stale maps cost.
+    fn stale(&mut self) {
+        let stale = self.e.seen.iter().filter_map(|(_, seen)| match *seen {
+            Seen::Answered { host, command, moved: true, .. } => Some((host, command)),
+            _ => None,
+        });
+        let stale: Vec<(u64, u64)> = stale.collect();
+        self.verdict.stale = stale.len() as u64;
+        let of: HashSet<(u64, u64)> = stale.into_iter().collect();
+        for tried in &self.tried {
+            let met = tried.sent.iter().any(|s| of.contains(&(self.sent[*s].host, self.sent[*s].command)));
+            match tried.answer.filter(|_| met) {
+                Some((_, Answer::Settled)) => self.verdict.stale_settled += 1,
+                Some((_, Answer::Bounced)) => self.verdict.stale_bounced += 1,
+                Some((_, Answer::Scrapped)) => self.verdict.stale_scrapped += 1,
+                None => {}
+            }
+        }
+        let switched = self.e.seen.iter().filter(|(_, s)| matches!(s, Seen::Switched { .. }));
+        self.verdict.switched = switched.count() as u64;
+    }
+
     fn payoff(&mut self) {
         let start = &self.e.host.start;
         for tried in &self.tried {
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -218,7 +218,7 @@
             ends: session.end,
             records: session.record.then(Vec::new),
             tally: Tally::default(),
-            payload: (0..most).map(|i| i as u8).collect(),
+            payload: vec![0; most.max(8)],
             deafened: (session.planted == Some(Rule::Lost)).then_some(200),
             overtaken: session.planted == Some(Rule::Order),
             in_order: sheet.start.bands.iter().map(|b| b.in_order).collect(),
@@ -363,7 +363,7 @@
         let host = self.volumes[volume].hosts[host];
         let (units, keys) = (self.traffic.mixes[mix].units, self.traffic.keys);
         let units = 1.0 + (self.draw() * units as f64).floor();
-        let key = 1 + self.volumes[volume].id * keys + (self.draw() * keys as f64) as u64;
+        let key = 1 + (self.draw() * keys as f64) as u64;
         self.serial += 1;
         let band = self.traffic.mixes[mix].band;
         let attempt = Try {
@@ -402,6 +402,10 @@
         let Some(c) = self.in_hand.get(&number) else { return };
         let Some(l) = &mut self.lines[c.line] else { return };
         let (t, mix) = (c.attempt, &self.traffic.mixes[c.mix]);
+        // What is written begins with its mark, so that it is known where it lies.
+        let size = if mix.write { mix.payload } else { 0 };
+        let marked = size.min(8);
+        self.payload[..marked].copy_from_slice(&t.mark.to_le_bytes()[..marked]);
         l.connection.queue(
             &Message::Take(Take {
                 command: t.number,
@@ -412,7 +416,7 @@
                 mark: t.mark,
                 units: t.units as f32,
                 limit_us: (t.limit * 1000.0) as u32,
-                payload: if mix.write { &self.payload[..mix.payload] } else { &[] },
+                payload: &self.payload[..size],
             }),
             NOTHING,
         );
--- a/crates/drill/src/plant.rs
+++ b/crates/drill/src/plant.rs
@@ -42,7 +42,7 @@
         met: HashMap::new(),
         done: false,
     };
-    (!matches!(rule, Rule::Lost | Rule::Order)).then(|| Box::new(plant) as Box<dyn Tamper>)
+    (!matches!(rule, Rule::Lost | Rule::Order | Rule::Data)).then(|| Box::new(plant) as Box<dyn Tamper>)
 }
 
 impl Tamper for Plant {
--- a/crates/drill/src/relay.rs
+++ b/crates/drill/src/relay.rs
@@ -103,6 +103,7 @@
                     units: t.units,
                     shard: node as u32,
                     left_us: t.limit_us,
+                    version: 0,
                     payload: t.payload,
                 };
                 self.nodes[node].queue(&Message::HandOff(handed), NOTHING);
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -125,8 +125,13 @@
     }
     let (tally, said) = clients.finish().ok_or_else(|| io::Error::other("the clients' thread failed"))?;
     let exit_codes = hosts.into_iter().flatten().map(HostProcess::end).collect::<io::Result<Vec<_>>>()?;
+    let mut stored = handle.ask(|fleet| fleet.map.stored()).unwrap_or_default();
+    if planted == Some(Rule::Data) {
+        stored.pop();
+    }
     let seen = handle.records();
-    let evidence = Evidence { host, fleet, drill: sheet, seen: &seen, said: &said, stalls: &stalls };
+    let evidence =
+        Evidence { host, fleet, drill: sheet, seen: &seen, said: &said, stalls: &stalls, stored: &stored };
     let verdict = audit(&evidence);
     let ended_well = exit_codes.iter().all(|code| *code == Some(0));
     Ok(Drilled {
--- a/crates/extents/src/lib.rs
+++ b/crates/extents/src/lib.rs
@@ -4,8 +4,10 @@
 //! rises with every change of its owner. The map as a whole has an epoch that counts its changes, so that
 //! whoever follows it sees what it missed. `docs/extents.md` weighs the ways.
 
+mod follow;
 mod map;
 mod moving;
 
+pub use follow::{Follower, Line, Place};
 pub use map::{Change, Changes, Extent, Fault, Map, VolumeMap};
 pub use moving::{Asked, Machine, Mover, Record, Refused, Source, Stage, Target};
--- a/crates/extents/src/map.rs
+++ b/crates/extents/src/map.rs
@@ -213,6 +213,11 @@
         self.volumes.values().map(|v| v.rows.capacity() * std::mem::size_of::<Row>()).sum()
     }
 
+    /// All extents in order, each with its volume.
+    pub fn all(&self) -> impl Iterator<Item = (u64, Extent)> + '_ {
+        self.volumes.iter().flat_map(|(id, v)| (0..v.rows.len()).map(|place| (*id, v.extent(place))))
+    }
+
     /// The one extent that holds an offset; none outside the volume.
     pub fn find(&self, volume: u64, offset: u64) -> Option<Extent> {
         let v = self.volumes.get(&volume).filter(|v| offset < v.size)?;
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -46,10 +46,21 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
-    TimeOut { command: u64, hand_off: u32 },
-    Connect { peer: usize, try_number: u64 },
-    HalfFrame { client: usize, serial: u64 },
+    TimeOut {
+        command: u64,
+        hand_off: u32,
+    },
+    Connect {
+        peer: usize,
+        try_number: u64,
+    },
+    HalfFrame {
+        client: usize,
+        serial: u64,
+    },
     ListAgain,
+    /// Extents that were in flux are looked at anew.
+    Reroute,
 }
 
 /// A hand-off whose outcome is owed to the desk. `peer` is none once its connection is over.
@@ -57,6 +68,8 @@
     hand_off: u32,
     peer: Option<usize>,
     sent: Ms,
+    /// The version of the extent that it was sent under.
+    version: u32,
 }
 
 /// A command as its client sent it, kept until its final answer is given and nothing of it is out.
@@ -74,6 +87,8 @@
     mark: u64,
     units: f32,
     shard: u32,
+    /// The version under which its extent was known when it was placed; 0 where no map is followed.
+    version: u32,
     payload: Vec<u8>,
     out: Vec<Out>,
     hand_offs: u32,
@@ -107,6 +122,7 @@
 struct ListLink {
     address: SocketAddr,
     asked: bool,
+    map: bool,
     connection: Option<Connection>,
     back: Return,
 }
@@ -123,6 +139,7 @@
     /// A call of the list that failed and that the desk has yet to hear of.
     pub list_failed: bool,
     pub follower: Follower,
+    pub map: magpiewick_extents::Follower,
     number: u32,
     life: u64,
     bounds: Bounds,
@@ -138,7 +155,7 @@
 impl Floor {
     pub fn new(sheet: &HostSheet, poll: Poll, clock: Clock, life: u64) -> Floor {
         let back = Return::new(sheet.start.seed);
-        let (address, asked) = (sheet.list.address, sheet.list.asked);
+        let (address, asked, map) = (sheet.list.address, sheet.list.asked, sheet.list.map);
         Floor {
             now: clock.now(),
             clock,
@@ -148,6 +165,7 @@
             owed: VecDeque::new(),
             list_failed: false,
             follower: Follower::default(),
+            map: magpiewick_extents::Follower::default(),
             number: sheet.number,
             life,
             bounds: sheet.bounds.clone(),
@@ -156,7 +174,7 @@
             clients: Slab::new(),
             opens: Slab::new(),
             serial: 0,
-            list: ListLink { address, asked, connection: None, back },
+            list: ListLink { address, asked, map, connection: None, back },
             touched: Vec::new(),
         }
     }
@@ -344,7 +362,7 @@
         &mut self,
         key: usize,
         take: &Take,
-        shard: Option<usize>,
+        (shard, version): (u32, u32),
         time_limit: Ms,
         span: Span,
     ) -> Option<u64> {
@@ -365,7 +383,8 @@
             key: take.key,
             mark: take.mark,
             units: take.units,
-            shard: shard.map_or(u32::MAX, |s| s as u32),
+            shard,
+            version,
             payload: take.payload.to_vec(),
             out: Vec::new(),
             hand_offs: 0,
@@ -574,6 +593,7 @@
             units: open.units,
             shard: open.shard,
             left_us: ((open.ends - now).max(0.0) * 1000.0) as u32,
+            version: open.version,
             payload: &open.payload,
         });
         connection.queue(&message, command);
@@ -630,6 +650,7 @@
                 Ok(mut connection) => {
                     connection.queue(&hello, NOTHING);
                     self.list.connection = Some(connection);
+                    self.ask_map();
                 }
                 Err(e) => return self.list_lost(&e.to_string()),
             }
@@ -646,6 +667,40 @@
         }
     }
 
+    /// Asks for the map of extents, where the service tells it.
+    pub fn ask_map(&mut self) {
+        if let Some(connection) = self.list.connection.as_mut().filter(|_| self.list.map) {
+            connection.queue(&Message::WatchMap, NOTHING);
+            self.touched.push(key_of(Place::List, 0));
+        }
+    }
+
+    /// Commands without their final answer: id, volume, key, and where they are placed.
+    pub fn placed(&self) -> Vec<(u64, u64, u64, u32, u32)> {
+        let open = self.opens.iter().map(|(_, o)| o).filter(|o| !o.answered);
+        let mut all: Vec<_> = open.map(|o| (o.id, o.volume, o.key, o.shard, o.version)).collect();
+        // In the order taken, whatever slots they have.
+        all.sort_unstable();
+        all
+    }
+
+    /// The piece of data of a command; none once it has its final answer.
+    pub fn piece(&mut self, command: u64) -> Option<(u64, u64)> {
+        self.open(command).filter(|o| !o.answered).map(|o| (o.volume, o.key))
+    }
+
+    /// The version that a hand-off which is out was sent under.
+    pub fn sent_under(&mut self, command: u64, hand_off: u32) -> Option<u32> {
+        let open = self.open(command)?;
+        open.out.iter().find(|o| o.hand_off == hand_off).map(|o| o.version)
+    }
+
+    pub fn place(&mut self, command: u64, shard: u32, version: u32) {
+        if let Some(open) = self.open(command) {
+            (open.shard, open.version) = (shard, version);
+        }
+    }
+
     pub fn list_answered(&mut self) {
         self.list.back.succeeded();
     }
@@ -682,7 +737,8 @@
         let sent = self.now;
         let Some(open) = self.open(command) else { return };
         (open.hand_offs, open.last_node) = (hand_off + 1, Some(node));
-        open.out.push(Out { hand_off, peer: Some(index), sent });
+        let version = open.version;
+        open.out.push(Out { hand_off, peer: Some(index), sent, version });
         self.timers.set(sent + time_out, Timer::TimeOut { command, hand_off });
         let dial = self.peers[index].contact.dial();
         if dial == Dial::Use {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod contact;
 mod floor;
 pub mod follow;
+mod route;
 pub mod sheet;
 mod stood;
 
@@ -15,9 +16,10 @@
 use follow::Heard;
 use magpiewick::{Answer, Command, Ms, News, Outcome};
 use magpiewick_desk::{Desk, Taken};
+use magpiewick_extents::{Fault, Place as At};
 use magpiewick_link::{Clock, Ended, Poll, Registered, Woken};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, Hello, List, Message, Read, Role, Take, Verdict, VERSION,
+    self as wire, Code, Final, Hello, List, MapNews, Message, Read, Role, Take, Verdict, VERSION,
 };
 use sheet::HostSheet;
 use std::io::{self, ErrorKind, Read as _};
@@ -219,6 +221,10 @@
         }
         let answer = Answer { outcome, latency: self.floor.now - sent, over, used, others };
         self.desk.outcome(self.floor.now, command, answer, &mut self.floor);
+        if let Some((volume, key)) = self.floor.piece(command).filter(|_| outcome == Outcome::Moved) {
+            let (to, version) = self.place(volume, key);
+            self.replace(command, to, version);
+        }
         self.floor.release(command);
     }
 
@@ -238,6 +244,7 @@
                     }
                 }
                 Timer::ListAgain => self.floor.watch_list(),
+                Timer::Reroute => self.reroute(),
             }
         }
     }
@@ -280,6 +287,7 @@
         let (used, broken) = each_frame(&input, |message| {
             match message {
                 Message::List(list) => self.heard_list(&list),
+                Message::Map(news) => self.heard_map(&news),
                 Message::Refused => {
                     self.floor.list_answered();
                     self.desk.listed(self.floor.now, News::Failed, &[]);
@@ -317,6 +325,65 @@
         }
     }
 
+    // The map of extents.
+
+    fn heard_map(&mut self, news: &MapNews) {
+        match route::heard(&mut self.floor.map, news) {
+            Ok(true) => {
+                tracing::info!(epoch = news.epoch, whole = news.whole, "map of extents");
+                self.reroute();
+            }
+            Ok(false) | Err(Fault::Old) => {}
+            Err(fault) => {
+                tracing::warn!(%fault, "news of the map is refused; asking for all of it");
+                self.floor.ask_map();
+            }
+        }
+    }
+
+    /// Where a piece of data lies: its shard and the extent's version. Without a map of its volume it lies on the
+    /// shard of the settings that its key falls to; without a key, anywhere.
+    fn place(&self, volume: u64, key: u64) -> (Option<usize>, u32) {
+        match self.floor.map.place(self.floor.now, volume, key) {
+            At::At { shard, version } => (Some(shard as usize), version),
+            At::Flux => (Some(route::NOWHERE), 0),
+            At::Unknown if key == 0 => (None, 0),
+            At::Unknown => {
+                let shards = self.sheet.volumes.get(&volume).map_or(&[][..], |v| &v.shards);
+                let place = xxh3_64(&key.to_le_bytes()) % shards.len().max(1) as u64;
+                (shards.get(place as usize).copied(), 0)
+            }
+        }
+    }
+
+    /// Held commands follow the map before they are sent.
+    fn reroute(&mut self) {
+        for (command, volume, key, shard, version) in self.floor.placed() {
+            let (to, new) = self.place(volume, key);
+            if to.map_or(u32::MAX, |s| s as u32) != shard || new != version {
+                self.replace(command, to, new);
+            }
+        }
+    }
+
+    fn replace(&mut self, command: u64, to: Option<usize>, version: u32) {
+        self.floor.place(command, to.map_or(u32::MAX, |s| s as u32), version);
+        if let Some(shard) = to {
+            self.desk.moved(self.floor.now, command, shard);
+        }
+    }
+
+    /// A node does not serve a command's extent. The command goes to whoever the node names, or waits until
+    /// somebody can say.
+    fn refused_by_owner(&mut self, command: u64, hand_off: u32, owner: Option<(u32, u32)>) {
+        let Some(piece) = self.floor.piece(command) else { return };
+        let version = self.floor.sent_under(command, hand_off).unwrap_or(0);
+        tracing::debug!(command, version, ?owner, "a command was sent by a stale map");
+        if let Some(at) = self.floor.map.refused(self.floor.now, piece, version, owner) {
+            self.floor.timers.set(at, Timer::Reroute);
+        }
+    }
+
     // Storage nodes.
 
     fn node_readable(&mut self, key: usize) {
@@ -344,11 +411,16 @@
                     Code::Error => Outcome::Error,
                     Code::Full => Outcome::Full,
                     Code::Moot => Outcome::Moot,
+                    Code::Moved => Outcome::Moved,
                     _ => return Some("an outcome that a node cannot know".to_string()),
                 };
                 // Only the node that a hand-off is out at can end it.
                 if self.floor.is_out_at(o.command, u32::from(o.hand_off), key) {
                     let (used, others) = (o.used.map(f64::from), f64::from(o.others));
+                    if outcome == Outcome::Moved {
+                        let owner = o.owner.map(|owner| (owner, o.version));
+                        self.refused_by_owner(o.command, u32::from(o.hand_off), owner);
+                    }
                     self.outcome(o.command, u32::from(o.hand_off), outcome, used, others, o.payload);
                 } else {
                     tracing::debug!(command = o.command, "an answer for a hand-off that has ended");
@@ -469,10 +541,7 @@
         if self.floor.has_command(key, take.command) {
             return refuse(&mut self.floor, "number-in-use");
         }
-        let shard = (take.key != 0).then(|| {
-            let place = xxh3_64(&take.key.to_le_bytes()) % volume.shards.len() as u64;
-            volume.shards[place as usize]
-        });
+        let (shard, version) = self.place(take.volume, take.key);
         let age = self.stood.age().max(self.floor.held_back(key));
         let command = Command {
             band,
@@ -492,8 +561,12 @@
             volume = volume.name,
             band = self.sheet.bands[band],
         );
-        let Some(id) = self.floor.take(key, take, shard, command.time_limit, span) else { return };
-        let taken = Taken { id, key: take.key, volume: take.volume, command };
+        let placed = (shard.map_or(u32::MAX, |s| s as u32), version);
+        let Some(id) = self.floor.take(key, take, placed, command.time_limit, span) else { return };
+        // A key is a piece of its volume; the module knows keys by one number.
+        let piece = xxh3_64(&[take.volume.to_le_bytes(), take.key.to_le_bytes()].concat()).max(1);
+        let piece = if take.key == 0 { 0 } else { piece };
+        let taken = Taken { id, key: piece, volume: take.volume, command };
         self.desk.take(self.floor.now, taken, &mut self.floor);
         self.floor.release(id);
     }
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -12,6 +12,8 @@
     pub address: SocketAddr,
     /// The service must be asked, else it pushes to whoever connects.
     pub asked: bool,
+    /// The service tells the map of extents too.
+    pub map: bool,
     /// Where the list is kept over a restart.
     pub remember: Option<PathBuf>,
 }
@@ -136,8 +138,10 @@
     Some(HostSheet {
         number: part.field("number").whole_or(0..=u64::from(u32::MAX), 0) as u32,
         listen: part.field("listen").address_or(LOOPBACK),
-        list: list
-            .map_or(ListSource { address: LOOPBACK, asked: false, remember: None }, |(source, _)| source),
+        list: list.map_or(
+            ListSource { address: LOOPBACK, asked: false, map: false, remember: None },
+            |(source, _)| source,
+        ),
         start,
         bands: band_names,
         volumes,
@@ -162,7 +166,8 @@
     };
     let remember = p.field("remember");
     let remember = remember.given().then(|| PathBuf::from(remember.text()));
-    let source = ListSource { address: p.field("address").address_or(LOOPBACK), asked, remember };
+    let (address, map) = (p.field("address").address_or(LOOPBACK), p.field("map").flag_or(false));
+    let source = ListSource { address, asked, map, remember };
     (source, ask_within)
 }
 
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -114,8 +114,8 @@
 }
 
 fn outcome(command: u64, hand_off: u16, code: Code, payload: &[u8]) -> Message<'_> {
-    let (used, others, queue, busy) = (None, 0.0, 0, 0.0);
-    Message::Outcome(Outcome { command, hand_off, code, used, others, queue, busy, payload })
+    let (used, others, queue, busy, owner, version) = (None, 0.0, 0, 0.0, None, 0);
+    Message::Outcome(Outcome { command, hand_off, code, used, others, queue, busy, owner, version, payload })
 }
 
 struct Rig {
--- a/crates/nodewire/src/lib.rs
+++ b/crates/nodewire/src/lib.rs
@@ -8,7 +8,8 @@
 mod message;
 
 pub use message::{
-    Code, Final, HandOff, Hello, Line, List, Message, Outcome, Role, State, Take, Verdict, LONG_AGO, VERSION,
+    Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, Outcome, Role, State, Take,
+    Verdict, LONG_AGO, VERSION,
 };
 
 use fields::Fields;
@@ -22,6 +23,8 @@
 pub const MOST_BODY: usize = MOST_PAYLOAD + (1 << 10);
 /// The most nodes that one list may name.
 pub const MOST_LINES: usize = (MOST_BODY - 32) / message::LINE;
+/// The most lines that one part of map news may hold.
+pub const MOST_MAP_LINES: usize = (MOST_BODY - 32) / message::MAP_LINE;
 /// Kinds from here on may be skipped by a reader that does not know them.
 const SKIPPABLE: u8 = 0x80;
 
--- a/crates/nodewire/src/message.rs
+++ b/crates/nodewire/src/message.rs
@@ -51,6 +51,8 @@
     pub shard: u32,
     /// How long the client still waits: a node does not begin the command after it.
     pub left_us: u32,
+    /// The version of the extent as the host knows it; 0 where it follows no map.
+    pub version: u32,
     pub payload: &'a [u8],
 }
 
@@ -65,6 +67,8 @@
     Reset,
     Cancelled,
     Moot,
+    /// The node does not hold the piece of data (any more, or for the moment): nothing ran.
+    Moved,
 }
 
 /// A node's answer to one hand-off.
@@ -80,6 +84,9 @@
     /// Commands that wait at the node, and the part of its cores that is busy.
     pub queue: u32,
     pub busy: f32,
+    /// With `Moved`: the shard that owns the extent, where the node knows it, and the extent's version.
+    pub owner: Option<u32>,
+    pub version: u32,
     pub payload: &'a [u8],
 }
 
@@ -140,6 +147,43 @@
     pub port: u16,
 }
 
+/// What one line of map news says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mapped {
+    /// An extent of a whole map: `at` is its end.
+    Extent,
+    /// A new volume of one extent: `at` is its size.
+    Create,
+    Remove,
+    /// The extent at `start` has another owner, or the same under a new version.
+    Switch,
+    /// The extent at `start` is cut at `at`.
+    Split,
+    /// The extent at `start` and the next one are one.
+    Merge,
+}
+
+/// A line of map news; what its kind does not use is 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MapLine {
+    pub kind: Mapped,
+    pub volume: u64,
+    pub start: u64,
+    pub at: u64,
+    pub shard: u32,
+    pub version: u32,
+}
+
+/// News of the extent map: all of it, in parts that follow each other from 0 on, or the changes of one epoch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MapNews {
+    pub whole: bool,
+    pub epoch: u64,
+    pub part: u32,
+    pub last: bool,
+    pub lines: Vec<MapLine>,
+}
+
 /// News of the list: all of it, or what changed since the epoch before.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct List {
@@ -176,6 +220,9 @@
     },
     List(List),
     Refused,
+    /// Asks for the extent map and for its changes from then on.
+    WatchMap,
+    Map(MapNews),
 }
 
 /// A table of a field's values: the place in it is the number on the wire.
@@ -190,7 +237,7 @@
 const ROLES: [Role; 4] = [Role::Client, Role::Host, Role::Node, Role::List];
 const STATES: [State; 3] = [State::Ready, State::Draining, State::Gone];
 const VERDICTS: [Verdict; 3] = [Verdict::Settled, Verdict::Bounced, Verdict::Scrapped];
-const CODES: [Code; 8] = [
+const CODES: [Code; 9] = [
     Code::Settled,
     Code::Error,
     Code::Full,
@@ -199,7 +246,14 @@
     Code::Reset,
     Code::Cancelled,
     Code::Moot,
+    Code::Moved,
 ];
+const MAPPED: [Mapped; 6] =
+    [Mapped::Extent, Mapped::Create, Mapped::Remove, Mapped::Switch, Mapped::Split, Mapped::Merge];
+/// Bytes of a line of map news.
+pub const MAP_LINE: usize = 33;
+/// Stands for an unknown owner.
+const NO_OWNER: u32 = u32::MAX;
 /// Stands for an unknown use.
 const NO_USE: f32 = f32::MAX;
 
@@ -230,6 +284,7 @@
                 units: f.amount("units")?,
                 shard: f.u32("shard")?,
                 left_us: f.u32("time left")?,
+                version: f.u32("version")?,
                 payload: payload_within(payload)?,
             }),
             3 => Message::Outcome(Outcome {
@@ -240,6 +295,8 @@
                 others: f.amount("units of others")?,
                 queue: f.u32("queue")?,
                 busy: f.amount("busy part")?,
+                owner: Some(f.u32("owner")?).filter(|owner| *owner != NO_OWNER),
+                version: f.u32("version")?,
                 payload: payload_within(payload)?,
             }),
             4 => Message::Cancel { command: f.u64("command")?, hand_off: f.u16("hand-off")? },
@@ -274,6 +331,14 @@
                 lines: lines(payload)?,
             }),
             12 => Message::Refused,
+            13 => Message::WatchMap,
+            14 => Message::Map(MapNews {
+                whole: f.flag("whole mark")?,
+                epoch: f.u64("epoch")?,
+                part: f.u32("part")?,
+                last: f.flag("last mark")?,
+                lines: map_lines(payload)?,
+            }),
             _ => return Ok(None),
         }))
     }
@@ -290,13 +355,14 @@
                 put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &m.band.to_le_bytes()]);
                 put(out, &[&[u8::from(m.write)], &m.volume.to_le_bytes(), &m.key.to_le_bytes()]);
                 put(out, &[&m.mark.to_le_bytes(), &m.units.to_le_bytes(), &m.shard.to_le_bytes()]);
-                put(out, &[&m.left_us.to_le_bytes()]);
+                put(out, &[&m.left_us.to_le_bytes(), &m.version.to_le_bytes()]);
                 (2, m.payload)
             }
             Message::Outcome(m) => {
                 put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &[place(&CODES, &m.code)]]);
                 put(out, &[&m.used.unwrap_or(NO_USE).to_le_bytes(), &m.others.to_le_bytes()]);
                 put(out, &[&m.queue.to_le_bytes(), &m.busy.to_le_bytes()]);
+                put(out, &[&m.owner.unwrap_or(NO_OWNER).to_le_bytes(), &m.version.to_le_bytes()]);
                 (3, m.payload)
             }
             Message::Cancel { command, hand_off } => {
@@ -336,11 +402,23 @@
                 (11, &[])
             }
             Message::Refused => (12, &[]),
+            Message::WatchMap => (13, &[]),
+            Message::Map(m) => {
+                put(out, &[&[u8::from(m.whole)], &m.epoch.to_le_bytes(), &m.part.to_le_bytes()]);
+                put(out, &[&[u8::from(m.last)]]);
+                (14, &[])
+            }
         }
     }
 
     /// Appends what stands where a payload would and is not borrowed from the message.
     pub(crate) fn finish(&self, out: &mut Vec<u8>) {
+        if let Message::Map(news) = self {
+            for l in &news.lines {
+                put(out, &[&[place(&MAPPED, &l.kind)], &l.volume.to_le_bytes(), &l.start.to_le_bytes()]);
+                put(out, &[&l.at.to_le_bytes(), &l.shard.to_le_bytes(), &l.version.to_le_bytes()]);
+            }
+        }
         let Message::List(list) = self else { return };
         for l in &list.lines {
             put(out, &[&l.node.to_le_bytes(), &l.shard.to_le_bytes(), &l.zone.to_le_bytes()]);
@@ -354,6 +432,24 @@
     parts.iter().for_each(|part| out.extend_from_slice(part));
 }
 
+fn map_lines(bytes: &[u8]) -> Result<Vec<MapLine>, Fault> {
+    if !bytes.len().is_multiple_of(MAP_LINE) {
+        return Err(Fault::Impossible("length of the map's news"));
+    }
+    let line = |bytes: &[u8]| {
+        let mut f = Fields::new(bytes);
+        Ok(MapLine {
+            kind: pick(&MAPPED, f.u8("kind")?, "kind")?,
+            volume: f.u64("volume")?,
+            start: f.u64("start")?,
+            at: f.u64("place")?,
+            shard: f.u32("shard")?,
+            version: f.u32("version")?,
+        })
+    };
+    bytes.chunks_exact(MAP_LINE).map(line).collect()
+}
+
 fn lines(bytes: &[u8]) -> Result<Vec<Line>, Fault> {
     if !bytes.len().is_multiple_of(LINE) || bytes.len() / LINE > MOST_LINES {
         return Err(Fault::Impossible("length of the list"));
--- a/crates/nodewire/tests/codec.rs
+++ b/crates/nodewire/tests/codec.rs
@@ -28,7 +28,7 @@
             address: [127, 0, 0, 1],
             port: *a as u16,
         };
-        match kind % 12 {
+        match kind % 14 {
             0 => Message::Hello(Hello {
                 lowest: 1,
                 highest: short,
@@ -48,6 +48,7 @@
                 units: *x,
                 shard: *d as u32,
                 left_us: *a as u32,
+                version: *b as u32,
                 payload,
             }),
             2 => Message::Outcome(Outcome {
@@ -58,6 +59,8 @@
                 others: *x,
                 queue: *d as u32,
                 busy: *x,
+                owner: write.then_some(*a as u32 / 2),
+                version: *b as u32,
                 payload,
             }),
             3 => Message::Cancel { command: *a, hand_off: short },
@@ -83,6 +86,20 @@
             8 => Message::GiveUp { command: *a },
             9 => Message::Watch { epoch: *a },
             10 => Message::List(List { whole: write, epoch: *a, lines: (0..*d % 5).map(line).collect() }),
+            11 => Message::WatchMap,
+            12 => {
+                let kinds = [Mapped::Extent, Mapped::Create, Mapped::Switch, Mapped::Split, Mapped::Merge];
+                let line = |n: u64| MapLine {
+                    kind: kinds[(n % 5) as usize],
+                    volume: *a,
+                    start: n,
+                    at: *b,
+                    shard: *c as u32,
+                    version: *d as u32,
+                };
+                let lines = (0..*d % 5).map(line).collect();
+                Message::Map(MapNews { whole: write, epoch: *a, part: *b as u32, last: !write, lines })
+            }
             _ => Message::Refused,
         }
     }
@@ -130,7 +147,7 @@
         let fixed = bytes.len().min(usize::from(u16::MAX)) as u16;
         for fixed in [fixed, fixed / 2, fixed.saturating_add(1)] {
             let mut header = (bytes.len() as u32).to_le_bytes().to_vec();
-            header.extend_from_slice(&[kind % 14, 0]);
+            header.extend_from_slice(&[kind % 16, 0]);
             header.extend_from_slice(&fixed.to_le_bytes());
             let sum = crc32c::crc32c_append(crc32c::crc32c(&header), &bytes);
             header.extend_from_slice(&sum.to_le_bytes());
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,12 +1,14 @@
 //! The loop of a fleet: its sockets, its work and its list.
 
+use crate::moves::{Service, Stepped};
 use crate::node::{Ailing, Node};
 use crate::sheet::{FleetSheet, Group};
 use crate::{Ms, Seen};
+use magpiewick_extents::{Change, Changes, Extent};
 use magpiewick_link::{listen, Clock, Connection, Poll, Registered, Timers, Woken, NOTHING};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, HandOff, Hello, Line, List, Message, Outcome, Read, Role, State, Verdict,
-    LONG_AGO, VERSION,
+    self as wire, Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, Outcome, Read,
+    Role, State, Verdict, LONG_AGO, MOST_MAP_LINES, VERSION,
 };
 use nanorand::{Rng, WyRand};
 use slab::Slab;
@@ -53,6 +55,7 @@
     host: u64,
     greeted: bool,
     watching: bool,
+    watching_map: bool,
 }
 
 enum Due {
@@ -62,6 +65,8 @@
     PutOff(usize),
     Again(usize),
     Tell,
+    Move(u64, u64),
+    TellMap(Box<MapNews>),
 }
 
 type Order = Box<dyn FnOnce(&mut Fleet) + Send>;
@@ -89,6 +94,7 @@
     dues: HashMap<u64, Due>,
     due_number: u64,
     memory: HashMap<(u64, u64), Ms>,
+    pub map: Service,
     records: Vec<(Ms, Seen)>,
     recording: bool,
     tamper: Option<Box<dyn Tamper>>,
@@ -163,6 +169,7 @@
             dues: HashMap::new(),
             due_number: 0,
             memory: HashMap::new(),
+            map: Service::new(&sheet.volumes, sheet.extents, sheet.keys),
             records: Vec::new(),
             recording: true,
             tamper,
@@ -247,6 +254,8 @@
             }
             Due::Again(node) => self.work(node),
             Due::Tell => self.tell_news(),
+            Due::Move(volume, start) => self.step_move(volume, start),
+            Due::TellMap(news) => self.tell_map(&news),
         }
     }
 
@@ -277,6 +286,8 @@
         self.nodes[node].address = door.local_addr()?;
         self.doors[node] = Some(self.poll.register(door, NODES + node)?);
         self.nodes[node].begin(life, cold.then_some(self.now));
+        let shard = self.nodes[node].sheet.shard;
+        self.map.restarted(shard);
         self.see(Seen::Started { node: self.nodes[node].sheet.number, life, cold });
         Ok(())
     }
@@ -371,6 +382,79 @@
         List { whole: true, epoch: self.epoch, lines: listed.filter_map(|n| self.line(n)).collect() }
     }
 
+    // The map of extents and its moves.
+
+    /// Begins to move an extent, by its number in the volume.
+    pub fn plan_move(&mut self, volume: u64, extent: usize, to: u32) {
+        let Some(e) = self.map.extent(volume, extent) else { return };
+        if self.map.plan(volume, e, to) {
+            self.set(self.now, Due::Move(volume, e.start));
+        }
+    }
+
+    pub fn abandon_move(&mut self, volume: u64, extent: usize) {
+        if let Some(e) = self.map.extent(volume, extent) {
+            self.map.abandon(volume, e.start);
+        }
+    }
+
+    fn step_move(&mut self, volume: u64, start: u64) {
+        let nodes = &self.nodes;
+        let up = |shard: u32| nodes.iter().any(|n| n.up && n.sheet.shard == shard);
+        let again = self.now + self.sheet.move_step;
+        match self.map.step((volume, start), up) {
+            Stepped::Over(None) => {}
+            Stepped::Again => self.set(again, Due::Move(volume, start)),
+            Stepped::Changed(changes) => {
+                self.publish(&changes);
+                self.set(again, Due::Move(volume, start));
+            }
+            Stepped::Over(Some(changes)) => self.publish(&changes),
+        }
+    }
+
+    fn publish(&mut self, changes: &Changes) {
+        let line = |c: &Change| match *c {
+            Change::Switch { volume, start, shard, version } => {
+                Some(MapLine { kind: Mapped::Switch, volume, start, at: 0, shard, version })
+            }
+            _ => None,
+        };
+        let lines: Vec<MapLine> = changes.changes.iter().filter_map(line).collect();
+        for l in &lines {
+            let (volume, start, shard, version) = (l.volume, l.start, l.shard, l.version);
+            self.see(Seen::Switched { volume, start, shard, version });
+        }
+        let news = MapNews { whole: false, epoch: changes.epoch, part: 0, last: true, lines };
+        let late = self.now + self.sheet.list_late;
+        self.set(late, Due::TellMap(Box::new(news)));
+    }
+
+    fn tell_map(&mut self, news: &MapNews) {
+        if self.list_down {
+            return;
+        }
+        for (_, peer) in self.peers.iter_mut().filter(|(_, p)| p.watching_map) {
+            peer.connection.queue(&Message::Map(news.clone()), NOTHING);
+        }
+    }
+
+    fn whole_map(&mut self, index: usize) {
+        let line = |(volume, e): (u64, Extent)| {
+            let (start, at, shard, version) = (e.start, e.end, e.shard, e.version);
+            MapLine { kind: Mapped::Extent, volume, start, at, shard, version }
+        };
+        let lines: Vec<MapLine> = self.map.map.all().map(line).collect();
+        let epoch = self.map.map.epoch();
+        let parts = lines.chunks(MOST_MAP_LINES).count().max(1);
+        for part in 0..parts {
+            let lines = lines.chunks(MOST_MAP_LINES).nth(part).unwrap_or_default().to_vec();
+            let (part, last) = (part as u32, part + 1 == parts);
+            let news = Message::Map(MapNews { whole: true, epoch, part, last, lines });
+            self.peers[index].connection.queue(&news, NOTHING);
+        }
+    }
+
     // Sockets.
 
     fn readable(&mut self, key: usize) {
@@ -398,6 +482,7 @@
                 host: 0,
                 greeted: false,
                 watching: false,
+                watching_map: false,
             });
             self.greet(index);
         }
@@ -474,6 +559,10 @@
                     self.nodes.iter().filter(|n| !n.listed).map(|n| (n.sheet.number, n.life)).collect();
                 gone.into_iter().for_each(|(node, life)| self.see(Seen::Told { host, node, life }));
             }
+            (Message::WatchMap, None) => {
+                self.peers[index].watching_map = true;
+                self.whole_map(index);
+            }
             (Message::HandOff(h), Some(node)) => {
                 let arrived = self.arrived(index, node, h);
                 match &mut self.tamper {
@@ -504,6 +593,7 @@
                     units,
                     shard,
                     left_us,
+                    version: 0,
                     payload,
                 };
                 let arrived = Arrived { direct: true, ..self.arrived(index, node, &h) };
@@ -562,6 +652,9 @@
             self.see(Seen::Fell { node: number });
             return self.stop(node);
         }
+        if self.map.serves(n.sheet.shard, volume, key).is_err() {
+            return self.answer(node, &a, Code::Moved, &[]);
+        }
         if n.ailing.full || n.waiting.len() >= self.sheet.queue {
             return self.answer(node, &a, Code::Full, &[]);
         }
@@ -605,15 +698,21 @@
             return;
         }
         self.nodes[node].running -= 1;
-        let number = self.nodes[node].sheet.number;
+        let (number, shard) = (self.nodes[node].sheet.number, self.nodes[node].sheet.shard);
+        // What began before the extent was fenced has had no effect yet, and has none any more.
+        if self.map.serves(shard, job.volume, job.key).is_err() {
+            self.answer(node, &job, Code::Moved, &[]);
+            return self.work(node);
+        }
         if !self.is_repeat(node, &job) {
             let (host, command, band, mark) = (job.host, job.command, job.band, job.mark);
-            self.see(Seen::Ran { node: number, host, command, band, mark });
+            let (volume, key, write) = (job.volume, job.key, job.write);
+            self.see(Seen::Ran { node: number, host, command, band, volume, key, mark, write });
             if job.write {
-                self.nodes[node].store.insert((job.volume, job.key), job.payload.clone());
+                self.map.write(shard, volume, key, &job.payload);
             }
         }
-        let found = self.nodes[node].store.get(&(job.volume, job.key)).filter(|_| !job.write);
+        let found = self.map.read(shard, job.volume, job.key).filter(|_| !job.write);
         let found = found.cloned().unwrap_or_default();
         self.answer(node, &job, Code::Settled, &found);
         self.work(node);
@@ -660,7 +759,11 @@
             let answer = Message::Final(Final { command, verdict, back_us: 0, payload });
             return peer.connection.queue(&answer, NOTHING);
         }
+        let owner = self.map.serves(n.sheet.shard, a.volume, a.key).err().flatten();
+        let owner = owner.filter(|_| code == Code::Moved);
         let message = Message::Outcome(Outcome {
+            owner: owner.map(|o| o.0),
+            version: owner.map_or(0, |o| o.1),
             command,
             hand_off,
             code,
@@ -679,7 +782,8 @@
             return self.end_peer(index);
         }
         peer.connection.queue(&message, NOTHING);
-        let (node, host, ran) = (n.sheet.number, a.host, code == Code::Settled);
-        self.see(Seen::Answered { node, host, command, hand_off, ran });
+        let (node, host) = (n.sheet.number, a.host);
+        let (ran, moved) = (code == Code::Settled, code == Code::Moved);
+        self.see(Seen::Answered { node, host, command, hand_off, ran, moved });
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! on its sockets. It holds to no rule by itself; what hosts do to it is what a drill audits.
 
 mod fleet;
+mod moves;
 mod node;
 mod script;
 mod sheet;
@@ -48,15 +49,26 @@
         host: u64,
         command: u64,
         band: u16,
+        volume: u64,
+        key: u64,
         mark: u64,
+        write: bool,
+    },
+    /// An extent has a new owner, or is served again under a new version.
+    Switched {
+        volume: u64,
+        start: u64,
+        shard: u32,
+        version: u32,
     },
-    /// An answer left; `ran` is false where it is proof that nothing ran.
+    /// An answer left; `ran` is false where it is proof that nothing ran, `moved` where the data lies elsewhere.
     Answered {
         node: u32,
         host: u64,
         command: u64,
         hand_off: u16,
         ran: bool,
+        moved: bool,
     },
     Cancelled {
         node: u32,
--- /dev/null
+++ b/crates/standin/src/moves.rs
@@ -0,0 +1,246 @@
+//! The map service of a fleet, the data of its shards, and the moves of extents between them. The steps of a
+//! move are `crates/extents`' machines; this does what they ask.
+
+use magpiewick_extents::{
+    Asked, Change, Changes, Extent, Map, Mover, Record, Refused, Source, Stage, Target, VolumeMap,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// One extent on its way.
+struct Moving {
+    from: u32,
+    to: u32,
+    record: Record,
+    source: Source,
+    target: Target,
+    mover: Option<Mover>,
+    /// Keys that the source took since a copy began.
+    noted: BTreeSet<u64>,
+}
+
+/// What a step of a move came to.
+pub enum Stepped {
+    Again,
+    /// The map changed, and the move goes on.
+    Changed(Changes),
+    Over(Option<Changes>),
+}
+
+pub struct Service {
+    pub map: Map,
+    /// What is stored, by shard, volume and key.
+    stores: HashMap<(u32, u64), BTreeMap<u64, Vec<u8>>>,
+    moves: BTreeMap<(u64, u64), Moving>,
+    /// Movers are dead, or the service records nothing.
+    pub movers_dead: bool,
+    pub down: bool,
+}
+
+impl Service {
+    pub fn new(volumes: &[(u64, Vec<u32>)], extents: u64, keys: u64) -> Service {
+        let mut all = BTreeMap::new();
+        for (id, shards) in volumes.iter().filter(|(_, shards)| extents > 0 && !shards.is_empty()) {
+            let cut = |i: u64| (i * keys / extents, shards[i as usize % shards.len()], 1);
+            let rows: Vec<(u64, u32, u32)> = (0..extents).map(cut).collect();
+            // More extents than keys are no map; the volume goes without one.
+            if let Ok(volume) = VolumeMap::new(*id, keys, &rows) {
+                all.insert(*id, volume);
+            }
+        }
+        let map = Map::whole(1, all);
+        Service { map, stores: HashMap::new(), moves: BTreeMap::new(), movers_dead: false, down: false }
+    }
+
+    /// Whether a shard serves a piece of data now; where not, the owner that its nodes know of.
+    pub fn serves(&self, shard: u32, volume: u64, key: u64) -> Result<(), Option<(u32, u32)>> {
+        let Some(e) = self.map.find(volume, key) else { return Ok(()) };
+        match self.moves.get(&(volume, e.start)) {
+            None if e.shard == shard => Ok(()),
+            None => Err(Some((e.shard, e.version))),
+            Some(m) if m.from == shard && m.source.serves() => Ok(()),
+            Some(m) if m.to == shard && m.target.serves => Ok(()),
+            Some(m) if m.target.serves => Err(Some((m.to, e.version))),
+            Some(m) if m.from != shard && m.source.serves() => Err(Some((m.from, e.version))),
+            Some(_) => Err(None),
+        }
+    }
+
+    pub fn write(&mut self, shard: u32, volume: u64, key: u64, payload: &[u8]) {
+        self.stores.entry((shard, volume)).or_default().insert(key, payload.to_vec());
+        if let Some(e) = self.map.find(volume, key) {
+            if let Some(m) = self.moves.get_mut(&(volume, e.start)).filter(|m| m.from == shard) {
+                m.noted.insert(key);
+            }
+        }
+    }
+
+    pub fn read(&self, shard: u32, volume: u64, key: u64) -> Option<&Vec<u8>> {
+        self.stores.get(&(shard, volume))?.get(&key)
+    }
+
+    /// What the owner of each piece holds; without a map whoever holds it.
+    pub fn stored(&self) -> Vec<(u64, u64, Vec<u8>)> {
+        let mut all = Vec::new();
+        for ((shard, volume), store) in &self.stores {
+            for (key, payload) in store {
+                if self.map.find(*volume, *key).is_none_or(|e| e.shard == *shard) {
+                    all.push((*volume, *key, payload.clone()));
+                }
+            }
+        }
+        all
+    }
+
+    /// The extent of this place in a volume, by its number.
+    pub fn extent(&self, volume: u64, number: usize) -> Option<Extent> {
+        self.map.all().filter(|(v, _)| *v == volume).nth(number).map(|(_, e)| e)
+    }
+
+    /// Begins a move; false where there is nothing to move.
+    pub fn plan(&mut self, volume: u64, e: Extent, to: u32) -> bool {
+        if e.shard == to || self.moves.contains_key(&(volume, e.start)) {
+            return false;
+        }
+        let mut record = Record::still(e.version);
+        if record.plan().is_err() {
+            return false;
+        }
+        let (source, target, mover) = (Source::new(), Target::default(), Some(Mover::from(&record)));
+        let moving = Moving { from: e.shard, to, record, source, target, mover, noted: BTreeSet::new() };
+        self.moves.insert((volume, e.start), moving);
+        true
+    }
+
+    /// Gives a move up, if it still can be.
+    pub fn abandon(&mut self, volume: u64, start: u64) {
+        if let Some(m) = self.moves.get_mut(&(volume, start)) {
+            if m.record.abandon(m.record.number).is_ok() {
+                m.mover = Some(Mover::from(&m.record));
+            }
+        }
+    }
+
+    /// A shard's process started anew.
+    pub fn restarted(&mut self, shard: u32) {
+        for m in self.moves.values_mut().filter(|m| m.from == shard) {
+            m.source.restart();
+            m.noted.clear();
+        }
+    }
+
+    /// One step of a move. `up` tells whether a shard has a process that runs.
+    pub fn step(&mut self, place: (u64, u64), up: impl Fn(u32) -> bool) -> Stepped {
+        let Some(m) = self.moves.get_mut(&place) else { return Stepped::Over(None) };
+        if self.movers_dead {
+            m.mover = None;
+            return Stepped::Again;
+        }
+        // A mover that died has a successor, which starts from the record.
+        let mover = *m.mover.get_or_insert_with(|| Mover::from(&m.record));
+        let needs_source = matches!(
+            mover.next,
+            Asked::CopyAll
+                | Asked::CopyAgain
+                | Asked::Fence
+                | Asked::CopyRest
+                | Asked::Release
+                | Asked::Unfence
+        );
+        let needs_target = matches!(
+            mover.next,
+            Asked::CopyAll | Asked::CopyAgain | Asked::CopyRest | Asked::Serve | Asked::DropCopy
+        );
+        let recorded = matches!(mover.next, Asked::RecordCopied | Asked::Switch);
+        if needs_source && !up(m.from) || needs_target && !up(m.to) || recorded && self.down {
+            return Stepped::Again;
+        }
+        let switched = m.record.stage;
+        let done = Service::ask(m, &mover, place, &self.map, &mut self.stores);
+        let record = m.record;
+        let Some(next) = &mut m.mover else { return Stepped::Again };
+        match done {
+            Ok(life) => next.done(life),
+            Err(Refused) => next.refused(&record),
+        }
+        let (over, to, number) = (next.next == Asked::Nothing, m.to, record.stage);
+        let (volume, start) = place;
+        let now_moved = switched != Stage::Moved && number == Stage::Moved;
+        let gave_up = over && number == Stage::Abandoned;
+        let change = match self.map.find(volume, start) {
+            Some(_) if now_moved => {
+                Some(Change::Switch { volume, start, shard: to, version: record.version })
+            }
+            // A new version tells hosts that the extent is served again.
+            Some(e) if gave_up => {
+                Some(Change::Switch { volume, start, shard: e.shard, version: e.version + 1 })
+            }
+            _ => None,
+        };
+        let changes = change.map(|c| Changes { epoch: self.map.epoch() + 1, changes: vec![c] });
+        if let Some(changes) = &changes {
+            // The service makes its own changes one after the other: none can be old or leave a gap.
+            if let Err(fault) = self.map.apply(changes) {
+                tracing::error!(%fault, "the map service made a wrong change");
+            }
+        }
+        if over {
+            self.moves.remove(&place);
+            return Stepped::Over(changes);
+        }
+        changes.map_or(Stepped::Again, Stepped::Changed)
+    }
+
+    fn ask(
+        m: &mut Moving,
+        mover: &Mover,
+        (volume, start): (u64, u64),
+        map: &Map,
+        stores: &mut HashMap<(u32, u64), BTreeMap<u64, Vec<u8>>>,
+    ) -> Result<Option<u8>, Refused> {
+        let number = mover.number;
+        let range = map.find(volume, start).map_or(start..start, |e| e.start..e.end);
+        let mut copy = |keys: &dyn Fn(u64) -> bool| {
+            let from = stores.get(&(m.from, volume));
+            let held: Vec<(u64, Vec<u8>)> = from
+                .map(|s| {
+                    s.range(range.clone()).filter(|(k, _)| keys(**k)).map(|(k, v)| (*k, v.clone())).collect()
+                })
+                .unwrap_or_default();
+            stores.entry((m.to, volume)).or_default().extend(held);
+        };
+        match mover.next {
+            Asked::CopyAll | Asked::CopyAgain => {
+                m.target.take(number)?;
+                copy(&|_| true);
+                m.noted.clear();
+                return Ok(Some(m.source.life));
+            }
+            Asked::Fence => m.source.fence(number)?,
+            Asked::CopyRest => {
+                let all = m.source.lacks_all(number, mover.life)?;
+                m.target.take_rest(number)?;
+                let noted = std::mem::take(&mut m.noted);
+                copy(&|key| all || noted.contains(&key));
+                m.noted = noted;
+            }
+            Asked::RecordCopied => m.record.copied(number)?,
+            Asked::Switch => _ = m.record.switch(number)?,
+            Asked::Serve => m.target.serve(number)?,
+            Asked::Release => {
+                m.source.release(number)?;
+                if let Some(store) = stores.get_mut(&(m.from, volume)) {
+                    store.retain(|key, _| !range.contains(key));
+                }
+            }
+            Asked::DropCopy => {
+                m.target.drop_copy(number)?;
+                if let Some(store) = stores.get_mut(&(m.to, volume)) {
+                    store.retain(|key, _| !range.contains(key));
+                }
+            }
+            Asked::Unfence => m.source.unfence(number)?,
+            Asked::Nothing => {}
+        }
+        Ok(None)
+    }
+}
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -51,7 +51,6 @@
     /// Until when it stands still, and the work that it has put off.
     pub still_until: Ms,
     pub put_off: Ms,
-    pub store: HashMap<(u64, u64), Vec<u8>>,
     /// What was sent to it lately while it was cold.
     sent: VecDeque<(Ms, f64)>,
     /// Units served by volume, in all and through each host; and those of others as each host was last told.
@@ -75,7 +74,6 @@
             running: 0,
             still_until: 0.0,
             put_off: 0.0,
-            store: HashMap::new(),
             sent: VecDeque::new(),
             served: HashMap::new(),
             through: HashMap::new(),
@@ -83,7 +81,7 @@
         }
     }
 
-    /// A new process: what waited and ran is lost, what was stored is there.
+    /// A new process: what waited and ran is lost; what was stored is its shard's.
     pub fn begin(&mut self, life: u64, started: Option<Ms>) {
         (self.up, self.life, self.started, self.draining) = (true, life, started, false);
         self.waiting.clear();
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -26,9 +26,13 @@
     HostStall,
     HostKill,
     Surge,
+    Move,
+    AbandonMove,
+    MoversDie,
+    MapDown,
 }
 
-const KINDS: [(&str, Kind); 17] = [
+const KINDS: [(&str, Kind); 21] = [
     ("silent", Kind::Silent),
     ("answers-lost", Kind::AnswersLost),
     ("slow", Kind::Slow),
@@ -46,6 +50,10 @@
     ("host-stall", Kind::HostStall),
     ("host-kill", Kind::HostKill),
     ("surge", Kind::Surge),
+    ("move", Kind::Move),
+    ("abandon-move", Kind::AbandonMove),
+    ("movers-die", Kind::MoversDie),
+    ("map-down", Kind::MapDown),
 ];
 
 /// One trouble of a script.
@@ -60,6 +68,9 @@
     amount: f64,
     /// The spare nodes that take the place of those that go.
     successors: Vec<u64>,
+    /// Of moves: which extent of the volume, and to which shard.
+    extent: usize,
+    shard: u32,
 }
 
 /// One thing that a script does, at its time.
@@ -78,6 +89,10 @@
     Unlist(u32),
     List(u32),
     ListDown(bool),
+    Move(u64, usize, u32),
+    AbandonMove(u64, usize),
+    MoversDead(bool),
+    MapDown(bool),
     /// These are not the fleet's: whoever plays the script does them.
     HostStall(u32, bool),
     HostKill(u32),
@@ -109,6 +124,8 @@
         whom,
         from,
         to,
+        extent: p.field("extent").whole_or(0..=1 << 20, 0) as usize,
+        shard: p.field("shard").whole_or(0..=u64::from(u16::MAX), 0) as u32,
         amount: p.field("amount").number_or(1.0),
         successors: if successors.given() { successors.wholes() } else { Vec::new() },
     })
@@ -168,11 +185,15 @@
                     steps.push((self.to, Step::Unlist(node)));
                     continue;
                 }
-                Kind::ListDown | Kind::ListFlaps => {}
+                Kind::Move => steps.push((self.from, Step::Move(*whom, self.extent, self.shard))),
+                Kind::AbandonMove => steps.push((self.from, Step::AbandonMove(*whom, self.extent))),
+                Kind::ListDown | Kind::ListFlaps | Kind::MoversDie | Kind::MapDown => {}
             }
         }
         match self.kind {
             Kind::ListDown => both(&mut steps, Step::ListDown(true), Step::ListDown(false)),
+            Kind::MoversDie => both(&mut steps, Step::MoversDead(true), Step::MoversDead(false)),
+            Kind::MapDown => both(&mut steps, Step::MapDown(true), Step::MapDown(false)),
             Kind::ListFlaps => {
                 for turn in 0..4 {
                     let at = self.from + length * f64::from(turn) / 4.0;
@@ -221,6 +242,10 @@
             Step::Unlist(n) => on(fleet, n, &|f, n| f.list(n, false, false)),
             Step::List(n) => on(fleet, n, &|f, n| f.list(n, true, false)),
             Step::ListDown(down) => fleet.list_is_down(down),
+            Step::Move(volume, extent, shard) => fleet.plan_move(volume, extent, shard),
+            Step::AbandonMove(volume, extent) => fleet.abandon_move(volume, extent),
+            Step::MoversDead(dead) => fleet.map.movers_dead = dead,
+            Step::MapDown(down) => fleet.map.down = down,
             _ => return false,
         }
         true
--- a/crates/standin/src/sheet.rs
+++ b/crates/standin/src/sheet.rs
@@ -52,6 +52,13 @@
     pub put_off: f64,
     pub put_off_every: Ms,
     pub nodes: Vec<NodeSheet>,
+    /// Into how many extents each volume is cut (0: no map), how many keys a volume has room for, and how long a
+    /// step of a move takes.
+    pub extents: u64,
+    pub keys: u64,
+    pub move_step: Ms,
+    /// The volumes and the shards that hold them at first; the host's part of the file tells them.
+    pub volumes: Vec<(u64, Vec<u32>)>,
 }
 
 const GROUPS: [(&str, Group); 3] = [("all", Group::All), ("zone", Group::Zone), ("shard", Group::Shard)];
@@ -84,6 +91,10 @@
         put_off: p.field("put_off").part_or(0.0),
         put_off_every: p.field("put_off_every").time_or(1000.0),
         nodes,
+        extents: p.field("extents").whole_or(0..=1 << 20, 0),
+        keys: p.field("keys").whole_or(1..=1 << 40, 1 << 20),
+        move_step: p.field("move_step").time_or(20.0),
+        volumes: Vec::new(),
     })
 }
 
