--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `magpiewick`. `docs/operators.md` tells its commands, exit codes and log lines.
 
+mod extents;
 mod logs;
 mod sheet;
 
@@ -102,6 +103,14 @@
         #[arg(long)]
         rate: Option<f64>,
     },
+    /// Show, move, follow or abandon extents at a map service
+    Extents {
+        /// The list and map service
+        #[arg(long)]
+        service: SocketAddr,
+        #[command(subcommand)]
+        ask: extents::Ask,
+    },
     /// A bare relay, for measuring
     #[command(hide = true)]
     Relay { nodes: Vec<SocketAddr> },
@@ -117,7 +126,7 @@
             | Task::List { file }
             | Task::Drill { file, .. }
             | Task::Load { file, .. } => Some(file),
-            Task::Bench { .. } | Task::Relay { .. } => None,
+            Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } => None,
         }
     }
 }
@@ -226,7 +235,7 @@
             }
             Ok(0)
         }
-        Task::Bench { .. } | Task::Relay { .. } => Ok(USAGE),
+        Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } => Ok(USAGE),
     }
 }
 
@@ -256,6 +265,9 @@
             Ok(0)
         }
         Task::Relay { nodes } => relay(nodes).map(|()| 0),
+        Task::Extents { service, ask } => {
+            extents::run(*service, ask).map(|good| if good { 0 } else { BROKEN })
+        }
         _ => Ok(USAGE),
     }
 }
--- a/crates/nodewire/src/lib.rs
+++ b/crates/nodewire/src/lib.rs
@@ -8,8 +8,8 @@
 mod message;
 
 pub use message::{
-    Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, Outcome, Role, State, Take,
-    Verdict, LONG_AGO, VERSION,
+    Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, MoveStage, Outcome, Role,
+    State, Take, Verdict, LONG_AGO, VERSION,
 };
 
 use fields::Fields;
--- a/crates/nodewire/src/message.rs
+++ b/crates/nodewire/src/message.rs
@@ -174,6 +174,17 @@
     pub version: u32,
 }
 
+/// How far a move is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveStage {
+    /// The extent lies still; what was asked could not be done.
+    Still,
+    Copying,
+    Copied,
+    Moved,
+    Abandoned,
+}
+
 /// News of the extent map: all of it, in parts that follow each other from 0 on, or the changes of one epoch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MapNews {
@@ -223,6 +234,21 @@
     /// Asks for the extent map and for its changes from then on.
     WatchMap,
     Map(MapNews),
+    /// Asks the map service to move the extent at `start` to a shard, or to give its move up.
+    Move {
+        volume: u64,
+        start: u64,
+        shard: u32,
+        abandon: bool,
+    },
+    /// How far the move of an extent is; the answer to `Move`.
+    MoveState {
+        volume: u64,
+        start: u64,
+        from: u32,
+        to: u32,
+        stage: MoveStage,
+    },
 }
 
 /// A table of a field's values: the place in it is the number on the wire.
@@ -250,6 +276,8 @@
 ];
 const MAPPED: [Mapped; 6] =
     [Mapped::Extent, Mapped::Create, Mapped::Remove, Mapped::Switch, Mapped::Split, Mapped::Merge];
+const STAGES: [MoveStage; 5] =
+    [MoveStage::Still, MoveStage::Copying, MoveStage::Copied, MoveStage::Moved, MoveStage::Abandoned];
 /// Bytes of a line of map news.
 pub const MAP_LINE: usize = 33;
 /// Stands for an unknown owner.
@@ -339,6 +367,19 @@
                 last: f.flag("last mark")?,
                 lines: map_lines(payload)?,
             }),
+            15 => Message::Move {
+                volume: f.u64("volume")?,
+                start: f.u64("start")?,
+                shard: f.u32("shard")?,
+                abandon: f.flag("abandon mark")?,
+            },
+            16 => Message::MoveState {
+                volume: f.u64("volume")?,
+                start: f.u64("start")?,
+                from: f.u32("source")?,
+                to: f.u32("target")?,
+                stage: pick(&STAGES, f.u8("stage")?, "stage")?,
+            },
             _ => return Ok(None),
         }))
     }
@@ -403,6 +444,16 @@
             }
             Message::Refused => (12, &[]),
             Message::WatchMap => (13, &[]),
+            Message::Move { volume, start, shard, abandon } => {
+                put(out, &[&volume.to_le_bytes(), &start.to_le_bytes(), &shard.to_le_bytes()]);
+                put(out, &[&[u8::from(*abandon)]]);
+                (15, &[])
+            }
+            Message::MoveState { volume, start, from, to, stage } => {
+                put(out, &[&volume.to_le_bytes(), &start.to_le_bytes(), &from.to_le_bytes()]);
+                put(out, &[&to.to_le_bytes(), &[place(&STAGES, stage)]]);
+                (16, &[])
+            }
             Message::Map(m) => {
                 put(out, &[&[u8::from(m.whole)], &m.epoch.to_le_bytes(), &m.part.to_le_bytes()]);
                 put(out, &[&[u8::from(m.last)]]);
--- a/crates/nodewire/tests/codec.rs
+++ b/crates/nodewire/tests/codec.rs
@@ -28,7 +28,7 @@
             address: [127, 0, 0, 1],
             port: *a as u16,
         };
-        match kind % 14 {
+        match kind % 16 {
             0 => Message::Hello(Hello {
                 lowest: 1,
                 highest: short,
@@ -86,6 +86,11 @@
             8 => Message::GiveUp { command: *a },
             9 => Message::Watch { epoch: *a },
             10 => Message::List(List { whole: write, epoch: *a, lines: (0..*d % 5).map(line).collect() }),
+            13 => Message::Move { volume: *a, start: *b, shard: *c as u32, abandon: write },
+            14 => {
+                let stage = if write { MoveStage::Copied } else { MoveStage::Abandoned };
+                Message::MoveState { volume: *a, start: *b, from: *c as u32, to: *d as u32, stage }
+            }
             11 => Message::WatchMap,
             12 => {
                 let kinds = [Mapped::Extent, Mapped::Create, Mapped::Switch, Mapped::Split, Mapped::Merge];
@@ -147,7 +152,7 @@
         let fixed = bytes.len().min(usize::from(u16::MAX)) as u16;
         for fixed in [fixed, fixed / 2, fixed.saturating_add(1)] {
             let mut header = (bytes.len() as u32).to_le_bytes().to_vec();
-            header.extend_from_slice(&[kind % 16, 0]);
+            header.extend_from_slice(&[kind % 18, 0]);
             header.extend_from_slice(&fixed.to_le_bytes());
             let sum = crc32c::crc32c_append(crc32c::crc32c(&header), &bytes);
             header.extend_from_slice(&sum.to_le_bytes());
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -4,11 +4,11 @@
 use crate::node::{Ailing, Node};
 use crate::sheet::{FleetSheet, Group};
 use crate::{Ms, Seen};
-use magpiewick_extents::{Change, Changes, Extent};
+use magpiewick_extents::{Change, Changes, Extent, Stage};
 use magpiewick_link::{listen, Clock, Connection, Poll, Registered, Timers, Woken, NOTHING};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, Outcome, Read,
-    Role, State, Verdict, LONG_AGO, MOST_MAP_LINES, VERSION,
+    self as wire, Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, MoveStage,
+    Outcome, Read, Role, State, Verdict, LONG_AGO, MOST_MAP_LINES, VERSION,
 };
 use nanorand::{Rng, WyRand};
 use slab::Slab;
@@ -386,12 +386,36 @@
 
     /// Begins to move an extent, by its number in the volume.
     pub fn plan_move(&mut self, volume: u64, extent: usize, to: u32) {
-        let Some(e) = self.map.extent(volume, extent) else { return };
-        if self.map.plan(volume, e, to) {
+        if let Some(e) = self.map.extent(volume, extent) {
+            self.plan(volume, e, to);
+        }
+    }
+
+    fn plan(&mut self, volume: u64, e: Extent, to: u32) {
+        if self.nodes.iter().any(|n| n.sheet.shard == to) && self.map.plan(volume, e, to) {
             self.set(self.now, Due::Move(volume, e.start));
         }
     }
 
+    /// What an operator asks of an extent's move; how far it is then.
+    fn asked_move(&mut self, volume: u64, start: u64, shard: u32, abandon: bool) -> Message<'static> {
+        let extent = self.map.map.find(volume, start).filter(|e| e.start == start);
+        match extent {
+            Some(_) if abandon => self.map.abandon(volume, start),
+            Some(e) => self.plan(volume, e, shard),
+            None => {}
+        }
+        let still = extent.map_or(u32::MAX, |e| e.shard);
+        let (from, to, stage) = match self.map.stage(volume, start) {
+            None => (still, still, MoveStage::Still),
+            Some((from, to, Stage::Copying)) => (from, to, MoveStage::Copying),
+            Some((from, to, Stage::Copied)) => (from, to, MoveStage::Copied),
+            Some((from, to, Stage::Moved)) => (from, to, MoveStage::Moved),
+            Some((from, to, Stage::Abandoned)) => (from, to, MoveStage::Abandoned),
+        };
+        Message::MoveState { volume, start, from, to, stage }
+    }
+
     pub fn abandon_move(&mut self, volume: u64, extent: usize) {
         if let Some(e) = self.map.extent(volume, extent) {
             self.map.abandon(volume, e.start);
@@ -563,6 +587,10 @@
                 self.peers[index].watching_map = true;
                 self.whole_map(index);
             }
+            (Message::Move { volume, start, shard, abandon }, None) => {
+                let state = self.asked_move(*volume, *start, *shard, *abandon);
+                self.peers[index].connection.queue(&state, NOTHING);
+            }
             (Message::HandOff(h), Some(node)) => {
                 let arrived = self.arrived(index, node, h);
                 match &mut self.tamper {
--- a/crates/standin/src/moves.rs
+++ b/crates/standin/src/moves.rs
@@ -111,6 +111,11 @@
         true
     }
 
+    /// Source, target and stage of an extent's move; none where it lies still.
+    pub fn stage(&self, volume: u64, start: u64) -> Option<(u32, u32, Stage)> {
+        self.moves.get(&(volume, start)).map(|m| (m.from, m.to, m.record.stage))
+    }
+
     /// Gives a move up, if it still can be.
     pub fn abandon(&mut self, volume: u64, start: u64) {
         if let Some(m) = self.moves.get_mut(&(volume, start)) {
