--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -132,7 +132,7 @@
         let list = TcpListener::bind("127.0.0.1:0").unwrap();
         let node = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut sheet: HostSheet = read_text("test", SETTINGS, |r| host(r, 1)).unwrap().unwrap();
-        sheet.list.address = list.local_addr().unwrap();
+        (sheet.list.address, sheet.list.map) = (list.local_addr().unwrap(), true);
         let (stop, other) = UnixStream::pair().unwrap();
         let gateway = Gateway::bind(sheet, other, 99).unwrap();
         let address = gateway.address();
@@ -151,6 +151,11 @@
         self.list.say(&Message::List(List { whole, epoch, lines }));
     }
 
+    fn tell_map(&mut self, whole: bool, epoch: u64, kind: Mapped, at: u64, version: u32) {
+        let lines = vec![MapLine { kind, volume: 1, start: 0, at, shard: 0, version }];
+        self.list.say(&Message::Map(MapNews { whole, epoch, part: 0, last: true, lines }));
+    }
+
     fn client(&self) -> End {
         End::new(TcpStream::connect(self.address).unwrap())
     }
@@ -365,3 +370,25 @@
     assert_eq!(client.answer(), Some((1, Verdict::Settled, "last".to_string())));
     assert_eq!(rig.host.join().unwrap(), HostEnd::Stopped);
 }
+
+#[test]
+fn a_command_whose_data_nobody_serves_waits_for_news_and_goes_once_more() {
+    let mut rig = Rig::start(LONG_AGO);
+    rig.tell_map(true, 1, Mapped::Extent, 1000, 1);
+    let mut client = rig.client();
+    // Binding: sent anew only as the node's answer proves that nothing ran.
+    client.take(1, 1, b"paid");
+    let mut node = rig.greeted();
+    let sent = |m: &Message| match m {
+        Message::HandOff(h) => Some((h.command, h.hand_off, h.version)),
+        _ => None,
+    };
+    let (command, _, version) = node.hear(sent).unwrap();
+    assert_eq!(version, 1);
+    node.say(&outcome(command, 0, Code::Moved, &[]));
+    rig.tell_map(false, 2, Mapped::Switch, 0, 2);
+    assert_eq!(node.hear(sent), Some((command, 1, 2)));
+    node.settle((command, 1), &[]);
+    assert_eq!(client.answer().map(|a| a.1), Some(Verdict::Settled));
+    rig.end();
+}
