--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,7 +5,7 @@
 mod sheet;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use magpiewick_drill::{bench, drill, load, relay, Drilled, Rule, Said};
+use magpiewick_drill::{bench, drill, load, relay, Drilled, Planted, Rule, Said};
 use magpiewick_gateway::{Gateway, HostEnd};
 use magpiewick_link::Clock;
 use magpiewick_standin::{play, Handle};
@@ -73,9 +73,9 @@
         seed: u64,
         #[arg(long, value_enum, default_value_t = Form::Text)]
         format: Form,
-        /// Break this rule in the rig, to see the audit find it
-        #[arg(long, value_parser = rule)]
-        plant: Option<Rule>,
+        /// Break this rule, or what nodes say of moved data, in the rig, to see the audit find it
+        #[arg(long, value_parser = planted)]
+        plant: Option<Planted>,
         /// Write a line for each command, with its one final answer, to this file
         #[arg(long)]
         pairs: Option<PathBuf>,
@@ -137,10 +137,9 @@
     Json,
 }
 
-fn rule(name: &str) -> Result<Rule, String> {
-    let known = Rule::ALL.map(Rule::name);
-    let found = Rule::ALL.into_iter().find(|r| r.name() == name);
-    found.ok_or_else(|| format!("expected one of {}", known.join(", ")))
+fn planted(name: &str) -> Result<Planted, String> {
+    let known = Rule::ALL.map(Rule::name).join(", ");
+    Planted::named(name).ok_or_else(|| format!("expected one of {known}, moved"))
 }
 
 /// A number that no other start of a process has.
--- a/crates/cli/tests/drills.rs
+++ b/crates/cli/tests/drills.rs
@@ -52,10 +52,12 @@
 }
 
 #[test]
-fn an_old_owner_that_goes_on_taking_writes_is_found() {
-    let (code, found) = drill("extent-moves.hcl", &["--plant", "data"]);
-    let findings = found["findings"].as_array().unwrap();
-    assert!(code == Some(1) && findings.iter().all(|f| f["rule"] == "data"), "{found:#}");
+fn an_old_owner_that_goes_on_and_an_ignored_refusal_are_found() {
+    for plant in ["data", "moved"] {
+        let (code, found) = drill("extent-moves.hcl", &["--plant", plant]);
+        let findings = found["findings"].as_array().unwrap();
+        assert!(code == Some(1) && findings.iter().all(|f| f["rule"] == "data"), "{plant}: {found:#}");
+    }
 }
 
 #[test]
--- a/crates/drill/src/plant.rs
+++ b/crates/drill/src/plant.rs
@@ -8,6 +8,30 @@
 
 type Ms = f64;
 
+/// What a rig breaks on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    Rule(Rule),
+    /// On its way to the host, a node's answer that the data lies elsewhere becomes one that it is done: what a host
+    /// that ignores it would tell its client.
+    Moved,
+}
+
+impl Planted {
+    /// The plant of a name; none where there is none.
+    pub fn named(name: &str) -> Option<Planted> {
+        let rule = Rule::ALL.into_iter().find(|r| r.name() == name);
+        rule.map(Planted::Rule).or((name == "moved").then_some(Planted::Moved))
+    }
+
+    pub fn rule(self) -> Option<Rule> {
+        match self {
+            Planted::Rule(rule) => Some(rule),
+            Planted::Moved => None,
+        }
+    }
+}
+
 /// How many hand-offs go by before a plant begins.
 const FIRST: u64 = 200;
 
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -3,7 +3,7 @@
 use crate::audit::{audit, Evidence, Rule, Verdict};
 use crate::clients::{Clients, Host, Said, Session, Tally};
 use crate::hosts::{HostProcess, Program};
-use crate::plant::plant;
+use crate::plant::{plant, Planted};
 use crate::sheet::DrillSheet;
 use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_link::Clock;
@@ -86,20 +86,22 @@
 }
 
 /// Plays the drill of a file. `program` is the gateway's own, as hosts run in processes of their own; `planted`
-/// names a rule that the rig breaks.
+/// names what the rig breaks.
 pub fn drill(
     program: &Path,
     file: &Path,
     (host, fleet, sheet): (&HostSheet, &FleetSheet, &DrillSheet),
     seed: u64,
-    planted: Option<Rule>,
+    planted: Option<Planted>,
 ) -> io::Result<Drilled> {
+    let denied = planted == Some(Planted::Moved);
+    let planted = planted.and_then(Planted::rule);
     let clock = Clock::start();
     let mut stand_ins = fleet.clone();
     stand_ins.seed ^= seed << 8;
     let handle = Handle::start(stand_ins, clock, planted.and_then(|rule| plant(rule, host)))?;
     let leaky = planted == Some(Rule::Data);
-    handle.order(move |fleet| fleet.map.leaky = leaky);
+    handle.order(move |fleet| (fleet.map.leaky, fleet.map.denied) = (leaky, denied));
     let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
     let program = Program { program, file, list, seed: seed << 16 | 1 };
     let count = host.start.hosts as usize;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -772,6 +772,7 @@
     }
 
     fn answer(&mut self, node: usize, a: &Arrived, code: Code, payload: &[u8]) {
+        let code = if code == Code::Moved && self.map.denied { Code::Settled } else { code };
         let others = match code {
             Code::Settled => self.nodes[node].served(a.volume, a.host, a.units),
             _ => 0.0,
--- a/crates/standin/src/moves.rs
+++ b/crates/standin/src/moves.rs
@@ -36,6 +36,8 @@
     pub down: bool,
     /// A fault of the rig: a source goes on taking commands after its fence.
     pub leaky: bool,
+    /// Another: who does not serve an extent answers as if it had.
+    pub denied: bool,
     pace: Pace,
 }
 
@@ -58,6 +60,7 @@
             movers_dead: false,
             down: false,
             leaky: false,
+            denied: false,
             pace,
         }
     }
