Remove what nothing calls any more; look a hand-off up before its peers

Cause: a read of the whole change found two methods without a caller, a type of the extents package that only the search's test holds, and a cancel that walked all peers before it knew that there was something to cancel.

Change: the methods are gone, the type stands in the test, the cancel asks first. Behaviour stays.

--- a/crates/extents/src/lib.rs
+++ b/crates/extents/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use follow::{Follower, Line, Place};
 pub use map::{Change, Changes, Extent, Fault, Map, VolumeMap};
-pub use moving::{Asked, Machine, Mover, Record, Refused, Source, Stage, Target};
+pub use moving::{Asked, Mover, Record, Refused, Source, Stage, Target};
 pub use pace::Pace;
--- a/crates/extents/src/moving.rs
+++ b/crates/extents/src/moving.rs
@@ -260,11 +260,3 @@
         }
     }
 }
-
-/// All machines of one move together, as a driver or a search holds them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Machine {
-    pub record: Record,
-    pub source: Source,
-    pub target: Target,
-}
--- a/crates/extents/tests/search.rs
+++ b/crates/extents/tests/search.rs
@@ -10,6 +10,14 @@
 const LOSSES: u8 = 1;
 const MOVES: u32 = 2;
 
+/// What is durable of one extent's moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Machine {
+    record: Record,
+    source: Source,
+    target: Target,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 struct State {
     m: Machine,
--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -74,11 +74,6 @@
         self.stage == Stage::Opening
     }
 
-    /// Hand-offs out on the connection.
-    pub fn out(&self) -> u32 {
-        self.out
-    }
-
     /// Guards against connections whose other end went without a word, whatever took it: a fresh one is
     /// opened where the last hand-off met silence and no other could be hurt. It could harm where a node
     /// that merely stands still is greeted again for each try: one small exchange.
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -758,10 +758,10 @@
     }
 
     fn cancel(&mut self, command: u64, hand_off: u32) {
-        let waits = self.peers.iter().any(|p| p.waiting.contains(&(command, hand_off)));
         if !self.is_out(command, hand_off) {
             return;
         }
+        let waits = self.peers.iter().any(|p| p.waiting.contains(&(command, hand_off)));
         self.tell_cancelled(command, hand_off);
         let outcome = if waits { Outcome::NoConnection } else { Outcome::Cancelled };
         self.owed.push_back((command, hand_off, outcome));
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -125,11 +125,6 @@
         self.input = input;
     }
 
-    /// Whether a frame has begun that is not whole.
-    pub fn holds_part(&self) -> bool {
-        !self.input.is_empty()
-    }
-
     /// Puts a message behind what is to be written. `mark` names it to [`Connection::never_left`].
     pub fn queue(&mut self, message: &Message, mark: u64) {
         let start = self.before + self.output.len() as u64;
