--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -136,6 +136,8 @@
         budget,
         most_units: f.number_or("specifics.units_top", 1.0)?,
         mean_units: f.number_or("specifics.unit_mean", 1.0)?,
+        // The bench's servers take commands one by one.
+        most_together: f.number_or("specifics.units_top", 1.0)?,
         share_payoff: f.number_or("specifics.share_worth", 1.0)?,
     })
 }
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -3,7 +3,7 @@
 use crate::facts::NS_PER_MS;
 use crate::wire::Reply;
 use magpiewick::{Answer, Ending, Entry, Ms, News, Start};
-use magpiewick_desk::{Desk, Reason, Taken, World};
+use magpiewick_desk::{Desk, Part, Reason, Taken, World};
 
 pub struct Host {
     number: u32,
@@ -34,8 +34,11 @@
 }
 
 impl World for Actions<'_> {
-    fn send(&mut self, command: u64, _: u32, node: u32, time_out: Ms) {
-        self.reply.u8(3).u32(self.number).u64(command).u32(node).u64(ns(time_out).max(1));
+    fn send(&mut self, node: u32, parts: &[Part]) {
+        for part in parts {
+            let time_out = ns(part.time_out).max(1);
+            self.reply.u8(3).u32(self.number).u64(part.command).u32(node).u64(time_out);
+        }
     }
 
     fn cancel(&mut self, command: u64, hand_off: u32) {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -189,8 +189,18 @@
         return Err(f.fault(format_args!("a command of {units} units for shard {shard} over {hosts} hosts")));
     }
     let shard = (shard >= 0.0).then_some(shard as usize);
-    let command =
-        Command { band, plan, volume: 0, key: None, units, shard, hosts: hosts.max(1.0), time_limit };
+    let command = Command {
+        band,
+        plan,
+        volume: 0,
+        key: None,
+        units,
+        shard,
+        hosts: hosts.max(1.0),
+        time_limit,
+        counts: 1.0,
+        with: None,
+    };
     Ok(Taken { id, key, volume, command })
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -54,6 +54,9 @@
         /// Run no stand-ins
         #[arg(long)]
         bare: bool,
+        /// Send every command by itself, whatever the file says of merging
+        #[arg(long)]
+        alone: bool,
     },
     /// Check a settings file; all its faults are named at once
     Check { file: PathBuf },
@@ -73,7 +76,7 @@
         seed: u64,
         #[arg(long, value_enum, default_value_t = Form::Text)]
         format: Form,
-        /// Break this rule, or what nodes say of moved data, in the rig, to see the audit find it
+        /// Break this rule, or another promise, in the rig, to see the audit find it
         #[arg(long, value_parser = planted)]
         plant: Option<Planted>,
         /// Write a line for each command, with its one final answer, to this file
@@ -139,7 +142,7 @@
 
 fn planted(name: &str) -> Result<Planted, String> {
     let known = Rule::ALL.map(Rule::name).join(", ");
-    Planted::named(name).ok_or_else(|| format!("expected one of {known}, moved"))
+    Planted::named(name).ok_or_else(|| format!("expected one of {known}, {}", Planted::OTHERS))
 }
 
 /// A number that no other start of a process has.
@@ -188,7 +191,10 @@
             );
             Ok(0)
         }
-        Task::Serve { number, listen, list, seed, bare, .. } => {
+        Task::Serve { number, listen, list, seed, bare, alone, .. } => {
+            if alone {
+                sheet.host.send_alone();
+            }
             sheet.host.number = number.unwrap_or(sheet.host.number);
             sheet.host.listen = listen.unwrap_or(sheet.host.listen);
             sheet.host.list.address = list.unwrap_or(sheet.host.list.address);
@@ -347,6 +353,9 @@
             Said::Answered { number, verdict, back } => serde_json::json!({
                 "at_ms": at, "try": number, "answer": format!("{verdict:?}").to_lowercase(), "back_ms": back
             }),
+            Said::Found { number, block, mark } => serde_json::json!({
+                "at_ms": at, "try": number, "block": block, "found": mark
+            }),
             Said::GaveUp { number } => serde_json::json!({ "at_ms": at, "try": number, "answer": "none" }),
             Said::Lost { number } => serde_json::json!({ "at_ms": at, "try": number, "answer": "host-died" }),
         };
@@ -370,6 +379,14 @@
         "hand-offs {}, further {}; hosts ended with {:?}",
         d.verdict.hand_offs, d.verdict.further, d.exit_codes
     );
+    for h in d.verdict.by_host.iter().filter(|h| h.writes > 0) {
+        let (merged, part) = (h.node_commands as f64 / h.sent.max(1) as f64, h.payoff);
+        println!(
+            "host {}: {} of {} writes sent in {} commands of nodes ({merged:.2} each), payoff {part:.3}; {} long reads, \
+             p50 {:.1} ms, p99 {:.1} ms",
+            h.host, h.sent, h.writes, h.node_commands, h.long_reads, h.long_p50_ms, h.long_p99_ms
+        );
+    }
     if d.verdict.switched > 0 {
         let v = &d.verdict;
         println!(
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -13,11 +13,25 @@
 use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Where};
 use std::collections::HashMap;
 
+/// A command on its way to a node: the number of its hand-off, counted from 0, and within what time its outcome
+/// is owed to the desk.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    pub command: u64,
+    pub hand_off: u32,
+    pub time_out: Ms,
+}
+
 /// What a driver does for the desk. None of these may call the desk back: what comes of them is told to the
 /// desk afterwards.
 pub trait World {
-    /// Hands a command to a node; `hand_off` counts from 0. Its outcome is owed to the desk within `time_out`.
-    fn send(&mut self, command: u64, hand_off: u32, node: u32, time_out: Ms);
+    /// Hands commands to a node, all of them as one. The outcome of each is owed to the desk by itself.
+    fn send(&mut self, node: u32, parts: &[Part]);
+    /// A held command that may travel with those that are about to be sent; one that was named and is not the
+    /// last of them at the next call was kept back. Nothing is sent together unless a driver says so here.
+    fn beside(&mut self, _parts: &[Part]) -> Option<u64> {
+        None
+    }
     /// Stops the wait for a hand-off. Its outcome is still owed: what is on the way, or `Cancelled`.
     fn cancel(&mut self, command: u64, hand_off: u32);
     /// The one final answer that the host gives itself; a settled answer is the driver's to pass on.
@@ -72,6 +86,14 @@
     last: Option<Outcome>,
 }
 
+impl InHand {
+    fn hands_off(&mut self, time_out: Ms) -> Part {
+        assert!(!self.over, "a hand-off of command {}, which is over", self.id);
+        (self.sent, self.out) = (self.sent + 1, self.out + 1);
+        Part { command: self.id, hand_off: self.sent - 1, time_out }
+    }
+}
+
 pub struct Desk {
     brain: Brain,
     nodes: Indices<u32>,
@@ -81,6 +103,8 @@
     by_id: HashMap<u64, usize>,
     in_hand: Vec<Option<InHand>>,
     free: Vec<usize>,
+    /// What is about to be sent; empty between calls.
+    parts: Vec<Part>,
 }
 
 impl Desk {
@@ -94,6 +118,7 @@
             by_id: HashMap::new(),
             in_hand: Vec::new(),
             free: Vec::new(),
+            parts: Vec::new(),
         }
     }
 
@@ -133,15 +158,29 @@
         let Some(c) = &mut self.in_hand[slot] else { return };
         match self.brain.place(now, slot, &c.command) {
             Where::To { node, time_out } => {
-                assert!(!c.over, "a hand-off of command {}, which is over", c.id);
-                (c.sent, c.out) = (c.sent + 1, c.out + 1);
-                world.send(c.id, c.sent - 1, self.node_ids[node], time_out);
+                self.parts.push(c.hands_off(time_out));
+                while let Some(other) = world.beside(&self.parts) {
+                    self.ask_with(now, slot, other);
+                }
+                world.send(self.node_ids[node], &self.parts);
+                self.parts.clear();
             }
             Where::NotYet => {}
             Where::Never(ending) => self.end(slot, ending, world),
         }
     }
 
+    /// Asks whether a command may leave with the one at `first`, which leaves now.
+    fn ask_with(&mut self, now: Ms, first: usize, other: u64) {
+        let Some(&slot) = self.by_id.get(&other) else { return };
+        let Some(c) = &mut self.in_hand[slot] else { return };
+        c.command.with = Some(first);
+        if let Where::To { time_out, .. } = self.brain.place(now, slot, &c.command) {
+            self.parts.push(c.hands_off(time_out));
+        }
+        c.command.with = None;
+    }
+
     fn end(&mut self, slot: usize, ending: Ending, world: &mut impl World) {
         let Some(c) = &mut self.in_hand[slot] else { return };
         assert!(!c.over, "a second final answer for command {}", c.id);
--- a/crates/desk/tests/answers.rs
+++ b/crates/desk/tests/answers.rs
@@ -2,12 +2,16 @@
 //! final answer, nothing is sent after it, and nothing is kept once all is over.
 
 use magpiewick::{Answer, Band, Command, Ending, Group, Ms, News, Outcome, Plan, Repeats, Start};
-use magpiewick_desk::{Desk, Reason, Taken, World};
+use magpiewick_desk::{Desk, Part, Reason, Taken, World};
 use quickcheck::quickcheck;
 use std::collections::btree_map::{BTreeMap, Entry};
 
+/// Whoever is in hand and not ended may be offered as company: the module has the last word.
 #[derive(Default)]
 struct Count {
+    taken: u64,
+    offered: u64,
+    together: u32,
     out: Vec<(u64, u32)>,
     /// Final answers by command; the client's going counts as one.
     ended: BTreeMap<u64, u32>,
@@ -15,11 +19,23 @@
 }
 
 impl World for Count {
-    fn send(&mut self, command: u64, hand_off: u32, _: u32, time_out: Ms) {
-        if self.ended.contains_key(&command) || time_out <= 0.0 {
-            self.wrong = Some(format!("{command} was sent after its end"));
+    fn send(&mut self, _: u32, parts: &[Part]) {
+        for part in parts {
+            if self.ended.contains_key(&part.command) || part.time_out <= 0.0 {
+                self.wrong = Some(format!("{} was sent after its end", part.command));
+            }
+            if self.out.iter().any(|(command, _)| *command == part.command) {
+                self.wrong = Some(format!("{} was sent while it is out", part.command));
+            }
+            self.out.push((part.command, part.hand_off));
         }
-        self.out.push((command, hand_off));
+        self.offered = 0;
+        self.together += u32::from(parts.len() > 1);
+    }
+
+    fn beside(&mut self, _: &[Part]) -> Option<u64> {
+        self.offered += 1;
+        (self.offered <= self.taken).then_some(self.offered)
     }
 
     fn cancel(&mut self, command: u64, hand_off: u32) {
@@ -64,6 +80,7 @@
         budget: None,
         most_units: 4.0,
         mean_units: 1.0,
+        most_together: 8.0,
         share_payoff: 0.3,
     }
 }
@@ -92,7 +109,8 @@
 fn take(desk: &mut Desk, world: &mut Count, now: Ms, id: u64, (a, b): (u8, u8)) {
     let (band, shard) = (usize::from(a % 2), Some(usize::from(b % 2)));
     let (units, hosts, time_limit) = (1.0, 1.0, 400.0);
-    let command = Command { band, plan: 0, volume: 0, key: None, units, shard, hosts, time_limit };
+    let (plan, volume, key, counts, with) = (0, 0, None, 1.0, None);
+    let command = Command { band, plan, volume, key, units, shard, hosts, time_limit, counts, with };
     desk.take(now, Taken { id, key: u64::from(a % 5), volume: 9, command }, world);
 }
 
@@ -107,6 +125,7 @@
             match step % 4 {
                 0 | 1 => {
                     taken += 1;
+                    world.taken = taken;
                     take(&mut desk, &mut world, now, taken, (a, b));
                 }
                 2 if !world.out.is_empty() => {
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -13,6 +13,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 type Ms = f64;
+/// Start and end of an extent, when a host heard of it, and its version.
+type MapTold = (u64, u64, Ms, u32);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -76,6 +78,24 @@
     pub stale_bounced: u64,
     pub stale_scrapped: u64,
     pub switched: u64,
+    /// What each host did, by number.
+    pub by_host: Vec<HostShare>,
+}
+
+/// What one host did.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct HostShare {
+    pub host: usize,
+    /// Writes that it was asked, those that it sent, and the commands of nodes that these travelled in.
+    pub writes: u64,
+    pub sent: u64,
+    pub node_commands: u64,
+    /// The part of the payoff due that it settled within the soft limit.
+    pub payoff: f64,
+    /// Milliseconds to the last byte of reads of several blocks: the median and the 99th of 100.
+    pub long_reads: u64,
+    pub long_p50_ms: f64,
+    pub long_p99_ms: f64,
 }
 
 /// All that is known of a run.
@@ -150,7 +170,11 @@
     a.budget();
     a.limits();
     a.data();
+    a.reads();
+    a.effects_in_order();
+    a.old_versions();
     a.stale();
+    a.by_host();
     a.payoff();
     a.verdict.findings.sort_by(|x, y| x.at.total_cmp(&y.at));
     a.verdict
@@ -191,6 +215,7 @@
                     }
                     self.tried[i].answer.get_or_insert((*at, verdict));
                 }
+                Said::Found { .. } => {}
                 Said::GaveUp { number } | Said::Lost { number } => {
                     if let Some(&i) = by_number.get(&number) {
                         self.tried[i].ended = Some(*at);
@@ -359,6 +384,17 @@
         }
     }
 
+    /// The numbers of hosts by their lives.
+    fn numbers(&self) -> HashMap<u64, usize> {
+        self.tried.iter().map(|t| (t.t.host, t.t.at_host)).collect()
+    }
+
+    /// When a host heard what it was told: one that stood still, when it went on.
+    fn heard(&self, host: Option<&usize>, at: Ms) -> Ms {
+        let stalls = self.e.stalls.iter().filter(|x| Some(&x.0) == host && x.1 <= at && at < x.2);
+        stalls.map(|x| x.2).fold(at, f64::max)
+    }
+
     /// Rule 3: nothing new later than the grace after a host was told.
     fn drains(&mut self) {
         let grace = self.e.drill.drain_within + self.e.drill.noise;
@@ -368,17 +404,14 @@
                 told.entry((host, node, life)).or_insert(*at);
             }
         }
-        let numbers: HashMap<u64, usize> = self.tried.iter().map(|t| (t.t.host, t.t.at_host)).collect();
+        let numbers = self.numbers();
         let mut met: HashSet<(u64, u32, u64)> = HashSet::new();
         for i in 0..self.sent.len() {
             let s = &self.sent[i];
             let place = (s.host, s.node, s.life);
             let Some(&at) = told.get(&place) else { continue };
             met.insert(place);
-            // A host that stood still heard of it when it went on.
-            let stalls =
-                self.e.stalls.iter().filter(|x| Some(&x.0) == numbers.get(&s.host) && x.1 <= at && at < x.2);
-            let heard = stalls.map(|x| x.2).fold(at, f64::max);
+            let heard = self.heard(numbers.get(&s.host), at);
             if s.at > heard + grace {
                 let late = s.at - heard;
                 self.find(Rule::Drain, s.at, Some(i), None, format!("sent {late:.0} ms after the notice"));
@@ -539,8 +572,10 @@
     fn data(&mut self) {
         let mut last: BTreeMap<(u64, u64), (Ms, u64)> = BTreeMap::new();
         for (at, seen) in self.e.seen {
-            if let Seen::Ran { volume, key, mark, write: true, .. } = *seen {
-                last.insert((volume, key), (*at, mark));
+            if let Seen::Ran { volume, key, mark, write: true, blocks, .. } = *seen {
+                for block in key..key + u64::from(blocks) {
+                    last.insert((volume, block), (*at, mark));
+                }
             }
         }
         let ran: HashSet<u64> = self
@@ -571,6 +606,136 @@
         }
     }
 
+    /// Each block of a settled read holds what some moment of the read's time found there.
+    fn reads(&mut self) {
+        let noise = self.e.drill.noise;
+        let mut effects: HashMap<(u64, u64), Vec<(Ms, u64)>> = HashMap::new();
+        for (at, seen) in self.e.seen {
+            if let Seen::Ran { volume, key, mark, write: true, blocks, .. } = *seen {
+                for block in key..key + u64::from(blocks) {
+                    effects.entry((volume, block)).or_default().push((*at, mark));
+                }
+            }
+        }
+        let by_number: HashMap<u64, usize> =
+            self.tried.iter().enumerate().map(|(i, tried)| (tried.t.number, i)).collect();
+        let mut checked = 0;
+        for (at, said) in self.e.said {
+            let Said::Found { number, block, mark } = *said else { continue };
+            let Some(tried) = by_number.get(&number).map(|i| &self.tried[*i]) else { continue };
+            let (from, to, volume) = (tried.at - noise, at + noise, tried.t.volume);
+            let held = effects.get(&(volume, block)).map_or(&[][..], |all| all);
+            let first = held.partition_point(|e| e.0 <= from);
+            let last = held.partition_point(|e| e.0 <= to);
+            let found = held[first.saturating_sub(1)..last].iter().any(|e| e.1 == mark);
+            let may = found || first == 0 && mark == 0;
+            checked += 1;
+            if !may {
+                let what = format!("block {block} of volume {volume} was read as {mark}");
+                let command = Some(tried.t.mark);
+                self.find(Rule::Data, *at, None, command, what);
+            }
+        }
+        self.checked(Rule::Data, checked);
+    }
+
+    /// Writes of one connection that overlap take effect in the order sent.
+    fn effects_in_order(&mut self) {
+        let mut tries: HashMap<(u64, u64), (u64, usize)> = HashMap::new();
+        for (sent, tried) in (0..).zip(&self.tried).filter(|(_, t)| t.t.write) {
+            // A later try comes after whatever was sent meanwhile.
+            tries.insert((tried.t.host, tried.t.mark), (sent, tried.t.line));
+        }
+        let mut last: HashMap<(u64, u64, u64, usize), u64> = HashMap::new();
+        let (mut found, mut checked) = (Vec::new(), 0);
+        for (at, seen) in self.e.seen {
+            let Seen::Ran { host, volume, key, mark, write: true, blocks, .. } = *seen else { continue };
+            let Some(&(sent, line)) = tries.get(&(host, mark)) else { continue };
+            for block in key..key + u64::from(blocks) {
+                let before = last.entry((host, volume, block, line)).or_insert(sent);
+                checked += usize::from(*before != sent);
+                if *before > sent {
+                    found.push((
+                        *at,
+                        mark,
+                        format!("block {block} of volume {volume}: a later write ran first"),
+                    ));
+                }
+                *before = sent.max(*before);
+            }
+        }
+        self.checked(Rule::Order, checked);
+        for (at, mark, what) in found {
+            self.find(Rule::Order, at, None, Some(mark), what);
+        }
+    }
+
+    /// Nothing leaves under a version of an extent that is older than what its host was told.
+    fn old_versions(&mut self) {
+        let (noise, numbers) = (self.e.drill.noise, self.numbers());
+        let mut told: HashMap<(u64, u64), Vec<MapTold>> = HashMap::new();
+        let (mut found, mut checked) = (Vec::new(), 0);
+        for (at, seen) in self.e.seen {
+            match *seen {
+                Seen::MapTold { host, volume, start, end, version } => {
+                    let heard = self.heard(numbers.get(&host), *at);
+                    told.entry((host, volume)).or_default().push((start, end, heard, version));
+                }
+                Seen::HandOff { node, host, volume, key, mark, version, .. } if version > 0 => {
+                    let known = told.get(&(host, volume)).map_or(&[][..], |all| all);
+                    let of = known.iter().filter(|t| t.0 <= key && key < t.1 && at - t.2 > noise);
+                    checked += usize::from(of.clone().next().is_some());
+                    if let Some(newer) = of.clone().find(|t| t.3 > version) {
+                        let what = format!("sent under version {version}, told {} before", newer.3);
+                        found.push((*at, host, node, mark, what));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.checked(Rule::Data, checked);
+        for (at, host, node, mark, what) in found {
+            let (rule, host, node, command) = (Rule::Data, Some(host), Some(node), Some(mark));
+            self.verdict.findings.push(Finding { rule, at, host, node, command, what });
+        }
+    }
+
+    fn by_host(&mut self) {
+        let start = &self.e.host.start;
+        let mut shares = vec![HostShare::default(); start.hosts as usize];
+        let (mut due, mut long) = (vec![0.0; shares.len()], vec![Vec::new(); shares.len()]);
+        let numbers = self.numbers();
+        for tried in &self.tried {
+            let (host, band) = (tried.t.at_host, &start.bands[usize::from(tried.t.band)]);
+            shares[host].writes += u64::from(tried.t.write && !tried.t.later);
+            due[host] += if tried.t.later { 0.0 } else { band.payoff };
+            let Some((at, _)) = tried.answer.filter(|a| a.1 == Answer::Settled) else { continue };
+            if at <= tried.t.first + band.soft_limit {
+                shares[host].payoff += band.payoff;
+            }
+            if !tried.t.write && tried.t.blocks > 16 {
+                long[host].push(at - tried.t.first);
+            }
+        }
+        let mut known: HashSet<u64> = HashSet::new();
+        let mut sent: HashSet<(usize, u64)> = HashSet::new();
+        for (_, seen) in self.e.seen {
+            let Seen::HandOff { host, write: true, batch, command, .. } = *seen else { continue };
+            let Some(&host) = numbers.get(&host) else { continue };
+            shares[host].sent += u64::from(sent.insert((host, command)));
+            shares[host].node_commands += u64::from(known.insert(batch));
+        }
+        for (host, share) in shares.iter_mut().enumerate() {
+            let times = &mut long[host];
+            times.sort_by(f64::total_cmp);
+            let at = |part: f64| times.get((times.len() as f64 * part) as usize).copied().unwrap_or(0.0);
+            (share.host, share.payoff, share.long_reads) =
+                (host, share.payoff / f64::max(due[host], 1e-9), times.len() as u64);
+            (share.long_p50_ms, share.long_p99_ms) = (at(0.5), at(0.99));
+        }
+        self.verdict.by_host = shares;
+    }
+
     /// Counts what stale maps cost.
     fn stale(&mut self) {
         let stale = self.e.seen.iter().filter_map(|(_, seen)| match *seen {
--- a/crates/drill/src/bench.rs
+++ b/crates/drill/src/bench.rs
@@ -112,8 +112,13 @@
     let nodes = handle.ask(|fleet| fleet.addresses()).unwrap_or_default();
     let nodes: Vec<SocketAddr> = nodes.into_iter().map(|n| n.1).collect();
     let rig = Rig { host, drill, handle, nodes };
-    let started =
-        Program { program: program.to_path_buf(), file: file.to_path_buf(), list: rig.handle.list, seed: 1 };
+    let started = Program {
+        program: program.to_path_buf(),
+        file: file.to_path_buf(),
+        list: rig.handle.list,
+        seed: 1,
+        alone: Vec::new(),
+    };
     let mut relay = Command::new(program);
     relay.arg("relay").args(rig.nodes.iter().map(SocketAddr::to_string));
     let (through, relay) = (HostProcess::start(&started, 0)?, HostProcess::run(relay)?);
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -2,6 +2,7 @@
 //! count from the time at which a command was due, so that a late loop hides nothing.
 
 use crate::audit::Rule;
+use crate::plant::Planted;
 use crate::sheet::{DrillSheet, Traffic};
 use hdrhistogram::Histogram;
 use magpiewick_gateway::sheet::HostSheet;
@@ -27,6 +28,10 @@
     pub band: u16,
     pub volume: u64,
     pub key: u64,
+    pub blocks: u32,
+    pub write: bool,
+    /// The connection that it came on: what is sent on one is taken in that order.
+    pub line: usize,
     pub units: f64,
     pub limit: Ms,
     /// When the command was due at first, over all its tries.
@@ -43,6 +48,12 @@
         verdict: Verdict,
         back: Ms,
     },
+    /// What a settled read found in a block: the mark of what was written there, 0 for nothing.
+    Found {
+        number: u64,
+        block: u64,
+        mark: u64,
+    },
     /// The client's time was up.
     GaveUp {
         number: u64,
@@ -110,8 +121,12 @@
     id: u64,
     hosts: Vec<usize>,
     surge: f64,
+    /// By mix: the key and the host of the last command.
+    last: Vec<(u64, usize)>,
 }
 
+/// Keys that come through one connection, so that most ranges that overlap do.
+const STRIPE: u64 = 16;
 /// How long a rig that breaks the order holds commands back.
 const OVERTAKING: Ms = 250.0;
 
@@ -142,6 +157,8 @@
     /// what a rig does to break a rule.
     deafened: Option<u64>,
     overtaken: bool,
+    /// A number from which on one answer comes twice.
+    twice: Option<u64>,
     in_order: Vec<bool>,
     /// How much longer than it says a client waits, so that a late thread is not taken for a late host.
     noise: Ms,
@@ -156,8 +173,8 @@
     pub seed: u64,
     /// Whether all that is said is recorded, for an audit.
     pub record: bool,
-    /// A rule that is broken on purpose on the way between clients and hosts.
-    pub planted: Option<Rule>,
+    /// What is broken on purpose on the way between clients and hosts.
+    pub planted: Option<Planted>,
     /// In place of the traffic's rate: so many commands are always in hand.
     pub in_flight: Option<usize>,
 }
@@ -195,8 +212,14 @@
         let reach =
             |id: u64, v: f64| (0..(v as usize).min(count)).map(|i| (id as usize + i) % count).collect();
         let volumes = sheet.volumes.iter();
-        let volumes = volumes.map(|(id, v)| Volume { id: *id, hosts: reach(*id, v.hosts), surge: 1.0 });
-        let most = drill.traffic.mixes.iter().map(|m| m.payload).max().unwrap_or(0);
+        let volumes = volumes.map(|(id, v)| Volume {
+            id: *id,
+            hosts: reach(*id, v.hosts),
+            surge: 1.0,
+            last: vec![(u64::MAX, 0); drill.traffic.mixes.len()],
+        });
+        let most =
+            drill.traffic.mixes.iter().map(|m| m.payload * m.blocks.max(1) as usize).max().unwrap_or(0);
         let mut all = Loop {
             poll: poll.clone(),
             chance: WyRand::new_seed(session.seed),
@@ -219,8 +242,9 @@
             records: session.record.then(Vec::new),
             tally: Tally::default(),
             payload: vec![0; most.max(8)],
-            deafened: (session.planted == Some(Rule::Lost)).then_some(200),
-            overtaken: session.planted == Some(Rule::Order),
+            deafened: (session.planted == Some(Planted::Rule(Rule::Lost))).then_some(200),
+            overtaken: session.planted == Some(Planted::Rule(Rule::Order)),
+            twice: (session.planted == Some(Planted::Again)).then_some(200),
             in_order: sheet.start.bands.iter().map(|b| b.in_order).collect(),
             clock: session.clock,
         };
@@ -360,10 +384,21 @@
         });
         let mix = mix.unwrap_or(0);
         let host = (self.draw() * self.volumes[volume].hosts.len() as f64) as usize;
-        let host = self.volumes[volume].hosts[host];
+        let mut host = self.volumes[volume].hosts[host];
         let (units, keys) = (self.traffic.mixes[mix].units, self.traffic.keys);
         let units = 1.0 + (self.draw() * units as f64).floor();
-        let key = 1 + (self.draw() * keys as f64) as u64;
+        let blocks = self.traffic.mixes[mix].blocks.min(keys);
+        let mut key = 1 + (self.draw() * (keys + 1 - blocks.max(1)) as f64) as u64;
+        let run = self.traffic.run as f64;
+        if run > 1.0 {
+            let goes_on = self.draw() > 1.0 / run;
+            let (last, at) = self.volumes[volume].last[mix];
+            let next = last.saturating_add(blocks.max(1));
+            if goes_on && next.saturating_add(blocks.max(1)) <= keys {
+                (key, host) = (next, at);
+            }
+            self.volumes[volume].last[mix] = (key, host);
+        }
         self.serial += 1;
         let band = self.traffic.mixes[mix].band;
         let attempt = Try {
@@ -374,6 +409,9 @@
             band,
             volume: self.volumes[volume].id,
             key,
+            blocks: blocks as u32,
+            write: self.traffic.mixes[mix].write,
+            line: 0,
             units,
             limit: self.limits[usize::from(band)],
             first: due,
@@ -383,8 +421,9 @@
     }
 
     fn send(&mut self, mut c: InHand) {
-        let line = c.host * self.traffic.clients + c.attempt.key as usize % self.traffic.clients;
+        let line = c.host * self.traffic.clients + (c.attempt.key / STRIPE) as usize % self.traffic.clients;
         let Some(life) = self.lines[line].as_ref().and_then(|l| l.life) else { return };
+        c.attempt.line = line;
         (c.line, c.attempt.host, c.attempt.at_host) = (line, life, c.host);
         let t = c.attempt;
         self.tally.taken += 1;
@@ -402,10 +441,12 @@
         let Some(c) = self.in_hand.get(&number) else { return };
         let Some(l) = &mut self.lines[c.line] else { return };
         let (t, mix) = (c.attempt, &self.traffic.mixes[c.mix]);
-        // What is written begins with its mark, so that it is known where it lies.
-        let size = if mix.write { mix.payload } else { 0 };
-        let marked = size.min(8);
-        self.payload[..marked].copy_from_slice(&t.mark.to_le_bytes()[..marked]);
+        // Each block that is written begins with its mark, so that it is known where it lies.
+        let size = if mix.write { mix.payload * t.blocks.max(1) as usize } else { 0 };
+        for block in self.payload[..size].chunks_mut(mix.payload.max(1)) {
+            let marked = block.len().min(8);
+            block[..marked].copy_from_slice(&t.mark.to_le_bytes()[..marked]);
+        }
         l.connection.queue(
             &Message::Take(Take {
                 command: t.number,
@@ -416,6 +457,7 @@
                 mark: t.mark,
                 units: t.units as f32,
                 limit_us: (t.limit * 1000.0) as u32,
+                blocks: t.blocks,
                 payload: &self.payload[..size],
             }),
             NOTHING,
@@ -464,7 +506,7 @@
                             }
                         }
                         Message::Final(f) => {
-                            self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0)
+                            self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0, f.payload)
                         }
                         _ => ended = true,
                     }
@@ -483,13 +525,26 @@
         }
     }
 
-    fn answered(&mut self, number: u64, verdict: Verdict, back: Ms) {
+    fn answered(&mut self, number: u64, verdict: Verdict, back: Ms, payload: &[u8]) {
         if self.deafened.is_some_and(|from| number >= from) {
             self.deafened = None;
             return;
         }
         self.say(Said::Answered { number, verdict, back });
+        if self.twice.is_some_and(|from| number >= from) {
+            self.twice = None;
+            self.say(Said::Answered { number, verdict, back });
+        }
         let Some(c) = self.in_hand.remove(&number) else { return };
+        let t = c.attempt;
+        if verdict == Verdict::Settled && !t.write && self.records.is_some() {
+            let size = (payload.len() / t.blocks.max(1) as usize).max(1);
+            for n in 0..u64::from(t.blocks.max(1)) {
+                let block = payload.get(n as usize * size..).and_then(|b| b.first_chunk::<8>());
+                let mark = block.map_or(0, |b| u64::from_le_bytes(*b));
+                self.say(Said::Found { number, block: t.key + n, mark });
+            }
+        }
         match verdict {
             Verdict::Settled => {
                 self.tally.settled += 1;
--- a/crates/drill/src/hosts.rs
+++ b/crates/drill/src/hosts.rs
@@ -14,6 +14,8 @@
     pub file: PathBuf,
     pub list: SocketAddr,
     pub seed: u64,
+    /// Numbers of hosts that send every command by itself.
+    pub alone: Vec<u64>,
 }
 
 /// A running host; killed when it is dropped.
@@ -29,6 +31,9 @@
         command.arg("serve").arg(&p.file).arg("--bare");
         command.args(["--number", &number.to_string(), "--listen", "127.0.0.1:0"]);
         command.args(["--list", &p.list.to_string(), "--seed", &(p.seed + number as u64).to_string()]);
+        if p.alone.contains(&(number as u64)) {
+            command.arg("--alone");
+        }
         HostProcess::run(command)
     }
 
--- a/crates/drill/src/plant.rs
+++ b/crates/drill/src/plant.rs
@@ -15,19 +15,38 @@
     /// On its way to the host, a node's answer that the data lies elsewhere becomes one that it is done: what a host
     /// that ignores it would tell its client.
     Moved,
+    /// A batch of which a part was refused comes again as a whole.
+    Batch,
+    /// The blocks of a read come in another order.
+    Swapped,
+    /// A part of a batch is answered twice to its client.
+    Again,
+    /// Hosts are told half of each change of the map.
+    Half,
 }
 
 impl Planted {
     /// The plant of a name; none where there is none.
     pub fn named(name: &str) -> Option<Planted> {
         let rule = Rule::ALL.into_iter().find(|r| r.name() == name);
-        rule.map(Planted::Rule).or((name == "moved").then_some(Planted::Moved))
+        Some(match (rule, name) {
+            (Some(rule), _) => Planted::Rule(rule),
+            (_, "moved") => Planted::Moved,
+            (_, "batch") => Planted::Batch,
+            (_, "swapped") => Planted::Swapped,
+            (_, "again") => Planted::Again,
+            (_, "half") => Planted::Half,
+            _ => return None,
+        })
     }
 
+    /// The names beside those of the rules.
+    pub const OTHERS: &str = "moved, batch, swapped, again, half";
+
     pub fn rule(self) -> Option<Rule> {
         match self {
             Planted::Rule(rule) => Some(rule),
-            Planted::Moved => None,
+            _ => None,
         }
     }
 }
@@ -36,7 +55,7 @@
 const FIRST: u64 = 200;
 
 struct Plant {
-    rule: Rule,
+    planted: Planted,
     seen: u64,
     binding: Vec<u16>,
     /// Bands without an order that may run again, and the one of them that may wait longest with that wait.
@@ -46,10 +65,12 @@
     /// When a node was first met on this run.
     met: HashMap<u32, Ms>,
     done: bool,
+    /// The one that comes again.
+    batch: Option<u64>,
 }
 
-/// A rig that breaks `rule` and no other; none where the clients' side breaks it.
-pub fn plant(rule: Rule, host: &HostSheet) -> Option<Box<dyn Tamper>> {
+/// A rig that breaks what is named and nothing else; none where it is broken elsewhere.
+pub fn plant(planted: Planted, host: &HostSheet) -> Option<Box<dyn Tamper>> {
     let bands = || host.start.bands.iter().zip(0..);
     let plans = &host.start.plans;
     let limited = host.volumes.iter().filter(|(_, v)| plans[v.plan].limit_rate > 0.0).map(|(id, _)| *id);
@@ -57,7 +78,7 @@
     let waits = |band: &u16| host.start.bands[usize::from(*band)].soft_limit;
     let patient = of(Repeats::Retriable).max_by(|a, b| waits(a).total_cmp(&waits(b))).unwrap_or(0);
     let plant = Plant {
-        rule,
+        planted,
         seen: 0,
         binding: of(Repeats::Binding).collect(),
         free: of(Repeats::Retriable).collect(),
@@ -65,8 +86,13 @@
         limited: limited.collect(),
         met: HashMap::new(),
         done: false,
+        batch: None,
+    };
+    let between = match planted {
+        Planted::Rule(rule) => !matches!(rule, Rule::Lost | Rule::Order | Rule::Data),
+        other => other == Planted::Batch,
     };
-    (!matches!(rule, Rule::Lost | Rule::Order | Rule::Data)).then(|| Box::new(plant) as Box<dyn Tamper>)
+    between.then(|| Box::new(plant) as Box<dyn Tamper>)
 }
 
 impl Tamper for Plant {
@@ -83,20 +109,31 @@
             let copy = |n| Arrived { command: arrived.command ^ (n << 48), hand_off: 0, ..arrived.clone() };
             (1..=copies).map(|n| (0.0, copy(n))).collect::<Vec<_>>()
         };
-        let more = match self.rule {
-            Rule::Twice if self.binding.contains(&arrived.band) && !self.done => {
+        let more = match self.planted {
+            Planted::Rule(Rule::Twice) if self.binding.contains(&arrived.band) && !self.done => {
                 self.done = true;
                 vec![(5.0, next())]
             }
             // Held back on the way: some come to a node that has begun to drain meanwhile.
-            Rule::Drain if arrived.band == self.patient.0 => return vec![(self.patient.1, arrived)],
+            Planted::Rule(Rule::Drain) if arrived.band == self.patient.0 => {
+                return vec![(self.patient.1, arrived)]
+            }
             // A burst of what came early to a node that joined late.
-            Rule::Cold if free && !limited && now - met < 1500.0 && met > 1000.0 && !self.done => {
+            Planted::Rule(Rule::Cold)
+                if free && !limited && now - met < 1500.0 && met > 1000.0 && !self.done =>
+            {
                 self.done = true;
                 others(900)
             }
-            Rule::Budget if free => vec![(1.0, next())],
-            Rule::Limits if free && limited => others(8),
+            Planted::Rule(Rule::Budget) if free => vec![(1.0, next())],
+            Planted::Rule(Rule::Limits) if free && limited => others(8),
+            // As a host would that takes one part's refusal for the whole batch's.
+            Planted::Batch if self.binding.contains(&arrived.band) && arrived.parts > 1 => {
+                match *self.batch.get_or_insert(arrived.batch) == arrived.batch {
+                    true => vec![(60.0, next())],
+                    false => Vec::new(),
+                }
+            }
             _ => Vec::new(),
         };
         [vec![(0.0, arrived)], more].concat()
--- a/crates/drill/src/relay.rs
+++ b/crates/drill/src/relay.rs
@@ -104,6 +104,7 @@
                     shard: node as u32,
                     left_us: t.limit_us,
                     version: 0,
+                    blocks: t.blocks,
                     payload: t.payload,
                 };
                 self.nodes[node].queue(&Message::HandOff(handed), NOTHING);
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -94,16 +94,19 @@
     seed: u64,
     planted: Option<Planted>,
 ) -> io::Result<Drilled> {
-    let denied = planted == Some(Planted::Moved);
-    let planted = planted.and_then(Planted::rule);
+    let is = |other: Planted| planted == Some(other);
+    let (denied, swapped) = (is(Planted::Moved), is(Planted::Swapped));
+    let (leaky, halved) = (is(Planted::Rule(Rule::Data)), is(Planted::Half));
     let clock = Clock::start();
     let mut stand_ins = fleet.clone();
     stand_ins.seed ^= seed << 8;
-    let handle = Handle::start(stand_ins, clock, planted.and_then(|rule| plant(rule, host)))?;
-    let leaky = planted == Some(Rule::Data);
-    handle.order(move |fleet| (fleet.map.leaky, fleet.map.denied) = (leaky, denied));
+    let handle = Handle::start(stand_ins, clock, planted.and_then(|planted| plant(planted, host)))?;
+    handle.order(move |fleet| {
+        (fleet.map.leaky, fleet.map.denied) = (leaky, denied);
+        (fleet.map.swapped, fleet.map.halved) = (swapped, halved);
+    });
     let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
-    let program = Program { program, file, list, seed: seed << 16 | 1 };
+    let program = Program { program, file, list, seed: seed << 16 | 1, alone: sheet.alone.clone() };
     let count = host.start.hosts as usize;
     let hosts =
         (0..count).map(|n| HostProcess::start(&program, n).map(Some)).collect::<io::Result<Vec<_>>>()?;
@@ -130,7 +133,7 @@
     let (tally, said) = clients.finish().ok_or_else(|| io::Error::other("the clients' thread failed"))?;
     let exit_codes = hosts.into_iter().flatten().map(HostProcess::end).collect::<io::Result<Vec<_>>>()?;
     let mut stored = handle.ask(|fleet| fleet.map.stored()).unwrap_or_default();
-    if planted == Some(Rule::Data) && fleet.extents == 0 {
+    if leaky && fleet.extents == 0 {
         stored.pop();
     }
     let seen = handle.records();
--- a/crates/drill/src/sheet.rs
+++ b/crates/drill/src/sheet.rs
@@ -14,7 +14,10 @@
     pub write: bool,
     /// Commands ask 1 to so many units.
     pub units: u64,
+    /// Bytes of each block that is written.
     pub payload: usize,
+    /// Blocks from the key on; 0 where a key is a piece by itself.
+    pub blocks: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -25,6 +28,8 @@
     pub clients: usize,
     /// Pieces of data in each volume.
     pub keys: u64,
+    /// How many commands follow each other through a volume, one behind the other, on average.
+    pub run: u64,
     /// Whether a bounced client comes back once, when it was told to.
     pub retries: bool,
     pub mixes: Vec<Mix>,
@@ -37,6 +42,8 @@
     pub drain_within: Ms,
     /// By how much what two threads of one machine saw may lie apart.
     pub noise: Ms,
+    /// Hosts that send every command by itself, to compare with.
+    pub alone: Vec<u64>,
     pub traffic: Traffic,
     pub troubles: Vec<Trouble>,
 }
@@ -49,11 +56,13 @@
     let number = |name, absent| drill.as_ref().map_or(absent, |p: &Part| p.field(name).time_or(absent));
     let (time, drain_within, noise) =
         (number("time", 10_000.0), number("drain_within", 250.0), number("noise", 60.0));
+    let alone = drill.as_ref().map(|p| p.field("alone")).filter(|f| f.given());
+    let alone = alone.map_or(Vec::new(), |f| f.wholes());
     let traffic = traffic.map(|p| read_traffic(&p, host));
     if traffic.is_none() && drill.is_some() {
         root.fault("the block traffic is missing; a drill needs clients");
     }
-    Some(DrillSheet { time, drain_within, noise, traffic: traffic?, troubles })
+    Some(DrillSheet { time, drain_within, noise, alone, traffic: traffic?, troubles })
 }
 
 fn read_traffic(p: &Part, host: &HostSheet) -> Traffic {
@@ -68,6 +77,7 @@
             share: m.field("share").number(),
             write: m.field("write").flag_or(false),
             units: m.field("units").whole_or(1..=host.start.most_units.max(1.0) as u64, 1),
+            blocks: m.field("blocks").whole_or(0..=1 << 16, 0),
             payload: m.field("payload").whole_or(0..=1 << 20, 64) as usize,
             band: band?.1,
         })
@@ -80,6 +90,7 @@
         rate: p.field("rate").number(),
         clients: p.field("clients").whole_or(1..=10_000, 4) as usize,
         keys: p.field("keys").whole_or(1..=1_000_000, 100),
+        run: p.field("run").whole_or(1..=1_000_000, 1),
         retries: p.field("retries").flag_or(true),
         mixes,
     }
--- a/crates/extents/src/follow.rs
+++ b/crates/extents/src/follow.rs
@@ -49,6 +49,11 @@
         Place::At { shard, version }
     }
 
+    /// Where extents start within a range; none without a map that covers it.
+    pub fn edges(&self, volume: u64, start: u64, end: u64) -> Option<Vec<u64>> {
+        Some(self.map.span(volume, start, end)?.iter().map(|e| e.start).collect())
+    }
+
     /// A node that was sent a command under `version` does not serve the extent; it may name who does. The time
     /// from which to look again comes back where nobody can say.
     pub fn refused(
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -5,8 +5,9 @@
 use crate::follow::{address, started, Follower};
 use crate::sheet::{Bounds, HostSheet};
 use magpiewick::{Ending, Ms, Outcome};
-use magpiewick_desk::{Reason, World};
+use magpiewick_desk::{Part, Reason, Taken, World};
 use magpiewick_link::{Clock, Connection, Ended, Poll, Timers, NOTHING};
+use magpiewick_merge::{Company, Gate, Gather, Piece, Write};
 use magpiewick_nodewire::{Final, HandOff, Hello, Message, Role, State, Take, Verdict, LONG_AGO, VERSION};
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
@@ -27,6 +28,8 @@
 /// Bits of a key below its place, and bits of a command's id that name its slot.
 const INDEX: u32 = 32;
 const SLOT: u32 = 24;
+/// Marks the id of a read that was cut among those of commands.
+pub const WHOLE: u64 = 1 << 63;
 
 pub fn key_of(place: Place, index: usize) -> usize {
     (place as usize) << INDEX | index
@@ -61,6 +64,14 @@
     ListAgain,
     /// Extents that were in flux are looked at anew.
     Reroute,
+    /// A write has waited for an earlier one that it overlaps for as long as it may.
+    GateLate {
+        command: u64,
+    },
+    /// What may have run of a write that is over cannot take effect any more.
+    GateRested {
+        command: u64,
+    },
 }
 
 /// A hand-off whose outcome is owed to the desk. `peer` is none once its connection is over.
@@ -89,6 +100,13 @@
     shard: u32,
     /// The version under which its extent was known when it was placed; 0 where no map is followed.
     version: u32,
+    blocks: u32,
+    /// The read that it is a piece of, and which piece.
+    piece_of: Option<(u64, usize)>,
+    /// What the desk is to take once no earlier write overlaps it.
+    gated: Option<Taken>,
+    /// A hand-off ended without an answer: its effect may come late.
+    unsure: bool,
     payload: Vec<u8>,
     out: Vec<Out>,
     hand_offs: u32,
@@ -105,6 +123,42 @@
     serial: u64,
 }
 
+/// A read that was cut; what each piece is asked with.
+pub struct Whole {
+    pub client: (usize, u64),
+    pub gather: Gather,
+    /// Where each piece starts and ends, in blocks, and its command, once it has one.
+    pub pieces: Vec<(u64, u64)>,
+    pub ids: Vec<Option<u64>>,
+    pub band: u16,
+    pub volume: u64,
+    pub mark: u64,
+    /// Units a block.
+    pub units: f32,
+    pub ends: Ms,
+    pub span: Span,
+}
+
+/// A command as it is admitted: a client's own, or a piece of one.
+pub struct Admitted<'a> {
+    pub client: Option<(usize, u64)>,
+    pub piece_of: Option<(u64, usize)>,
+    pub take: &'a Take<'a>,
+    /// The shard and the version of its extent.
+    pub placed: (u32, u32),
+    pub time_limit: Ms,
+    pub span: Span,
+}
+
+/// A piece that has its final answer.
+pub struct PieceEnded {
+    pub whole: u64,
+    pub piece: usize,
+    pub verdict: Verdict,
+    pub back: Ms,
+    pub payload: Vec<u8>,
+}
+
 /// A storage node and the one connection to it.
 struct Peer {
     node: u32,
@@ -138,6 +192,14 @@
     pub owed: VecDeque<(u64, u32, Outcome)>,
     /// A call of the list that failed and that the desk has yet to hear of.
     pub list_failed: bool,
+    /// Writes that no earlier one holds back any more, and pieces of reads that ended; both are the loop's to use.
+    pub freed: VecDeque<u64>,
+    pub pieces_ended: VecDeque<PieceEnded>,
+    pub gate: Gate,
+    pub wholes: HashMap<u64, Whole>,
+    company: Company,
+    /// How long what was not answered may still take effect.
+    rest: Ms,
     pub follower: Follower,
     pub map: magpiewick_extents::Follower,
     number: u32,
@@ -164,6 +226,12 @@
             wake_at: 0.0,
             owed: VecDeque::new(),
             list_failed: false,
+            freed: VecDeque::new(),
+            pieces_ended: VecDeque::new(),
+            gate: Gate::default(),
+            wholes: HashMap::new(),
+            company: Company::new(sheet.merge.clone()),
+            rest: sheet.start.order_rest + sheet.start.round,
             follower: Follower::default(),
             map: magpiewick_extents::Follower::default(),
             number: sheet.number,
@@ -197,6 +265,11 @@
         keys
     }
 
+    /// Whether the desk, or the loop, has yet to hear of something.
+    pub fn has_news(&self) -> bool {
+        !self.owed.is_empty() || self.list_failed || !self.pieces_ended.is_empty() || !self.freed.is_empty()
+    }
+
     pub fn has_touched(&self) -> bool {
         !self.touched.is_empty()
     }
@@ -346,10 +419,11 @@
         Some(command)
     }
 
-    fn forsake(&mut self, command: u64, why: &str) {
+    pub fn forsake(&mut self, command: u64, why: &str) {
         if let Some(open) = self.open(command).filter(|o| !o.answered) {
             (open.client, open.answered) = (None, true);
             open.tell("none", why);
+            self.company.let_go(command);
         }
     }
 
@@ -358,22 +432,17 @@
     }
 
     /// Keeps a command as its client sent it and gives it an id that was never used.
-    pub fn take(
-        &mut self,
-        key: usize,
-        take: &Take,
-        (shard, version): (u32, u32),
-        time_limit: Ms,
-        span: Span,
-    ) -> Option<u64> {
-        let client = self.clients.get_mut(index_of(key))?;
-        let entry = self.opens.vacant_entry();
+    pub fn take(&mut self, admitted: Admitted) -> Option<u64> {
+        let Admitted { client, piece_of, take, placed: (shard, version), time_limit, span } = admitted;
         self.serial += 1;
+        let entry = self.opens.vacant_entry();
         let id = self.serial << SLOT | entry.key() as u64;
-        client.commands.insert(take.command, id);
+        if let Some((key, number)) = client {
+            self.clients.get_mut(index_of(key))?.commands.insert(number, id);
+        }
         entry.insert(Open {
             id,
-            client: Some((key, take.command)),
+            client,
             answered: false,
             taken: self.now,
             ends: self.now + time_limit,
@@ -385,12 +454,75 @@
             units: take.units,
             shard,
             version,
+            blocks: take.blocks,
+            piece_of,
+            gated: None,
+            unsure: false,
             payload: take.payload.to_vec(),
             out: Vec::new(),
             hand_offs: 0,
             last_node: None,
             span,
         });
+        self.hold(id);
+        Some(id)
+    }
+
+    /// Notes a write that is not out as one that may travel with others.
+    pub fn hold(&mut self, command: u64) {
+        let open = self.opens.get(slot_of(command)).filter(|o| o.id == command);
+        let held = |o: &&Open| o.write && o.key != 0 && !o.answered && o.out.is_empty();
+        if let Some(o) = open.filter(held) {
+            let (start, end) = (o.key, o.key + u64::from(o.blocks.max(1)));
+            let (bytes, units) = (o.payload.len(), f64::from(o.units));
+            let (volume, shard, band) = (o.volume, o.shard, o.band);
+            self.company.hold(command, Piece { volume, shard, band, start, end, bytes, units });
+        }
+    }
+
+    /// Asks whether a command may go on to the desk; keeps what it is to take where an earlier write overlaps it.
+    /// `line` names the line in which the module orders it.
+    pub fn enter(&mut self, taken: Taken, line: Option<u64>, until: Ms) -> Option<Taken> {
+        let command = taken.id;
+        let Some(open) = self.open(command).filter(|o| o.write && o.key != 0) else { return Some(taken) };
+        let (volume, start, end) = (open.volume, open.key, open.key + u64::from(open.blocks.max(1)));
+        if self.gate.enter(command, Write { volume, start, end, line }) {
+            return Some(taken);
+        }
+        if let Some(open) = self.open(command) {
+            open.gated = Some(taken);
+        }
+        self.timers.set(until, Timer::GateLate { command });
+        None
+    }
+
+    /// What the desk is to take of a write that waited, and the time that its client still has.
+    pub fn ungate(&mut self, command: u64) -> Option<Taken> {
+        let now = self.now;
+        let open = self.open(command).filter(|o| !o.answered)?;
+        let mut taken = open.gated.take()?;
+        taken.command.time_limit = open.ends - now;
+        Some(taken)
+    }
+
+    /// Ends a read that was cut; its pieces that are out are left to the desk.
+    pub fn end_whole(&mut self, whole: u64, verdict: Verdict, back: Ms, payload: &[u8]) {
+        let Some(Whole { client: (key, number), span, .. }) = self.wholes.remove(&whole) else { return };
+        span.in_scope(|| tracing::info!(target: "command", ?verdict, "a read in pieces is over"));
+        let back_us = (back * 1000.0) as u32;
+        if let Some(client) = self.clients.get_mut(index_of(key)) {
+            client.commands.remove(&number);
+        }
+        self.tell_client(key, &Message::Final(Final { command: number, verdict, back_us, payload }));
+    }
+
+    /// Keeps a read that is cut.
+    pub fn keep_whole(&mut self, whole: Whole) -> Option<u64> {
+        let (key, number) = whole.client;
+        self.serial += 1;
+        let id = WHOLE | self.serial;
+        self.clients.get_mut(index_of(key))?.commands.insert(number, id);
+        self.wholes.insert(id, whole);
         Some(id)
     }
 
@@ -416,7 +548,13 @@
             let (hand_offs, node, took) = (open.hand_offs, open.last_node, now - open.taken);
             tracing::info!(target: "command", answer, reason, hand_offs, node, took_ms = took);
         });
-        let Some((key, number)) = open.client.take() else { return };
+        let (client, piece_of) = (open.client.take(), open.piece_of);
+        self.company.let_go(command);
+        if let Some((whole, piece)) = piece_of {
+            let payload = payload.to_vec();
+            return self.pieces_ended.push_back(PieceEnded { whole, piece, verdict, back, payload });
+        }
+        let Some((key, number)) = client else { return };
         let back_us = (back * 1000.0) as u32;
         if let Some(client) = self.clients.get_mut(index_of(key)) {
             client.commands.remove(&number);
@@ -427,10 +565,19 @@
     /// Forgets a command that is answered and of which nothing is out.
     pub fn release(&mut self, command: u64) {
         if self.open(command).is_some_and(|o| o.answered && o.out.is_empty()) {
-            self.opens.remove(slot_of(command));
+            if self.opens.remove(slot_of(command)).unsure {
+                self.timers.set(self.now + self.rest, Timer::GateRested { command });
+            } else {
+                self.leave_gate(command);
+            }
         }
     }
 
+    /// Those that waited for this write may go on.
+    pub fn leave_gate(&mut self, command: u64) {
+        self.freed.extend(self.gate.leave(command));
+    }
+
     // Hand-offs.
 
     pub fn is_out(&mut self, command: u64, hand_off: u32) -> bool {
@@ -448,6 +595,7 @@
         let open = self.open(command)?;
         let place = open.out.iter().position(|o| o.hand_off == hand_off)?;
         let out = open.out.remove(place);
+        open.unsure |= !answered;
         if let Some(peer) = out.peer.map(|p| &mut self.peers[p]) {
             let waited = peer.waiting.len();
             peer.waiting.retain(|w| *w != (command, hand_off));
@@ -565,7 +713,7 @@
             Greeted::Expected => {
                 peer.life = Some(hello.life);
                 for (command, hand_off) in std::mem::take(&mut peer.waiting) {
-                    self.hand_over(index, command, hand_off);
+                    self.hand_over(index, [(command, hand_off)].into_iter());
                 }
             }
             Greeted::Restarted { .. } => {
@@ -577,28 +725,41 @@
         greeted
     }
 
-    fn hand_over(&mut self, index: usize, command: u64, hand_off: u32) {
+    /// Writes hand-offs to a node as one frame.
+    fn hand_over(&mut self, index: usize, parts: impl Iterator<Item = (u64, u32)>) {
         let now = self.now;
-        let Some(open) = self.opens.get(slot_of(command)).filter(|o| o.id == command) else { return };
         let peer = &mut self.peers[index];
         let Some(connection) = &mut peer.connection else { return };
-        let message = Message::HandOff(HandOff {
-            command,
-            hand_off: hand_off as u16,
-            band: open.band,
-            write: open.write,
-            volume: open.volume,
-            key: open.key,
-            mark: open.mark,
-            units: open.units,
-            shard: open.shard,
-            left_us: ((open.ends - now).max(0.0) * 1000.0) as u32,
-            version: open.version,
-            payload: &open.payload,
-        });
-        connection.queue(&message, command);
-        peer.out.push(command);
-        peer.contact.sent();
+        let opens = &self.opens;
+        let part = |(command, hand_off): (u64, u32)| {
+            let open = opens.get(slot_of(command)).filter(|o| o.id == command)?;
+            Some(HandOff {
+                command,
+                hand_off: hand_off as u16,
+                band: open.band,
+                write: open.write,
+                volume: open.volume,
+                key: open.key,
+                mark: open.mark,
+                units: open.units,
+                shard: open.shard,
+                left_us: ((open.ends - now).max(0.0) * 1000.0) as u32,
+                version: open.version,
+                blocks: open.blocks,
+                payload: &open.payload,
+            })
+        };
+        let parts: Vec<HandOff> = parts.filter_map(part).collect();
+        let commands: Vec<u64> = parts.iter().map(|p| p.command).collect();
+        match parts[..] {
+            [] => return,
+            [one] => connection.queue(&Message::HandOff(one), one.command),
+            _ => connection.queue_for(&Message::Batch(parts), commands.clone()),
+        }
+        for command in commands {
+            peer.out.push(command);
+            peer.contact.sent();
+        }
         self.touched.push(key_of(Place::Node, index));
     }
 
@@ -698,6 +859,7 @@
     pub fn place(&mut self, command: u64, shard: u32, version: u32) {
         if let Some(open) = self.open(command) {
             (open.shard, open.version) = (shard, version);
+            self.hold(command);
         }
     }
 
@@ -732,19 +894,23 @@
 }
 
 impl World for Floor {
-    fn send(&mut self, command: u64, hand_off: u32, node: u32, time_out: Ms) {
+    fn send(&mut self, node: u32, parts: &[Part]) {
         let index = self.peer(node);
         let sent = self.now;
-        let Some(open) = self.open(command) else { return };
-        (open.hand_offs, open.last_node) = (hand_off + 1, Some(node));
-        let version = open.version;
-        open.out.push(Out { hand_off, peer: Some(index), sent, version });
-        self.timers.set(sent + time_out, Timer::TimeOut { command, hand_off });
+        self.company.left(parts.iter().map(|p| p.command));
+        for &Part { command, hand_off, time_out } in parts {
+            let Some(open) = self.open(command) else { continue };
+            (open.hand_offs, open.last_node) = (hand_off + 1, Some(node));
+            let version = open.version;
+            open.out.push(Out { hand_off, peer: Some(index), sent, version });
+            self.timers.set(sent + time_out, Timer::TimeOut { command, hand_off });
+        }
+        let parts = parts.iter().map(|p| (p.command, p.hand_off));
         let dial = self.peers[index].contact.dial();
         if dial == Dial::Use {
-            return self.hand_over(index, command, hand_off);
+            return self.hand_over(index, parts);
         }
-        self.peers[index].waiting.push((command, hand_off));
+        self.peers[index].waiting.extend(parts);
         match dial {
             Dial::Use | Dial::Wait => {}
             Dial::Open => self.connect(index),
@@ -757,6 +923,10 @@
         }
     }
 
+    fn beside(&mut self, parts: &[Part]) -> Option<u64> {
+        self.company.beside(parts.iter().map(|p| p.command))
+    }
+
     fn cancel(&mut self, command: u64, hand_off: u32) {
         if !self.is_out(command, hand_off) {
             return;
@@ -773,6 +943,7 @@
             Ending::Bounced { back } => self.finish(command, Verdict::Bounced, back, word.as_bytes(), word),
             Ending::Scrapped => self.finish(command, Verdict::Scrapped, 0.0, word.as_bytes(), word),
         }
+        self.release(command);
     }
 
     fn probe(&mut self, node: u32) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,14 +12,16 @@
 mod stood;
 
 use contact::Greeted;
-use floor::{key_of, place_of, Floor, Place, Timer};
+use floor::{key_of, place_of, Admitted, Floor, PieceEnded, Place, Timer, Whole, WHOLE};
 use follow::Heard;
-use magpiewick::{Answer, Command, Ms, News, Outcome};
+use magpiewick::{Answer, Command, Ms, News, Outcome, Repeats};
 use magpiewick_desk::{Desk, Taken};
 use magpiewick_extents::{Fault, Place as At};
 use magpiewick_link::{Clock, Ended, Poll, Registered, Woken};
+use magpiewick_merge::{cut, Gather, Progress};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, Hello, List, MapNews, Message, Read, Role, Take, Verdict, VERSION,
+    self as wire, Code, Final, Hello, List, MapNews, Message, Read, Role, Take, Verdict, MOST_PAYLOAD,
+    VERSION,
 };
 use sheet::HostSheet;
 use std::io::{self, ErrorKind, Read as _};
@@ -101,7 +103,7 @@
             if self.stops > 1 {
                 return Ok(HostEnd::Abandoned);
             }
-            if self.stops > 0 && self.desk.in_hand() == 0 {
+            if self.stops > 0 && self.in_hand() == 0 {
                 // A client that does not read its answers cannot keep the host from ending.
                 let late = self.floor.now + self.sheet.bounds.connect_within;
                 if self.floor.nothing_to_write() || self.floor.now >= *self.ends_by.get_or_insert(late) {
@@ -111,6 +113,11 @@
         }
     }
 
+    /// Commands without their final answer, wherever they wait.
+    fn in_hand(&self) -> usize {
+        self.desk.in_hand() + self.floor.gate.waiting()
+    }
+
     fn sleep(&self) -> Ms {
         let next = self.floor.timers.next_at().unwrap_or(f64::INFINITY).min(self.floor.wake_at);
         (next - self.floor.clock.now()).clamp(0.0, LONGEST_SLEEP)
@@ -145,7 +152,7 @@
         loop {
             self.settle();
             self.desk.run(self.floor.now, &mut self.floor);
-            if self.floor.owed.is_empty() && !self.floor.list_failed {
+            if !self.floor.has_news() {
                 return;
             }
         }
@@ -159,6 +166,14 @@
         while let Some((command, hand_off, outcome)) = self.floor.owed.pop_front() {
             self.outcome(command, hand_off, outcome, None, 0.0, &[]);
         }
+        while let Some(ended) = self.floor.pieces_ended.pop_front() {
+            self.piece_ended(ended);
+        }
+        while let Some(command) = self.floor.freed.pop_front() {
+            if let Some(taken) = self.floor.ungate(command) {
+                self.desk.take(self.floor.now, taken, &mut self.floor);
+            }
+        }
     }
 
     /// Writes what is to be written. Connections that break at it bring outcomes, and these new hand-offs.
@@ -178,7 +193,7 @@
                     },
                 }
             }
-            if self.full && self.desk.in_hand() < self.sheet.bounds.most_in_hand {
+            if self.full && self.in_hand() < self.sheet.bounds.most_in_hand {
                 self.full = false;
                 for key in self.floor.client_keys() {
                     if self.floor.may_read_on(key) {
@@ -186,7 +201,7 @@
                     }
                 }
             }
-            if self.floor.owed.is_empty() && !self.floor.list_failed && !self.floor.has_touched() {
+            if !self.floor.has_news() && !self.floor.has_touched() {
                 return;
             }
             self.decide();
@@ -225,6 +240,7 @@
             let (to, version) = self.place(volume, key);
             self.replace(command, to, version);
         }
+        self.floor.hold(command);
         self.floor.release(command);
     }
 
@@ -245,6 +261,8 @@
                 }
                 Timer::ListAgain => self.floor.watch_list(),
                 Timer::Reroute => self.reroute(),
+                Timer::GateLate { command } => self.gate_late(command),
+                Timer::GateRested { command } => self.floor.leave_gate(command),
             }
         }
     }
@@ -492,14 +510,13 @@
     /// A message of a client; why no more of them can be used, where that is so.
     fn client_said(&mut self, key: usize, message: Message) -> Option<String> {
         match message {
-            Message::Take(_) if self.desk.in_hand() >= self.sheet.bounds.most_in_hand => {
+            Message::Take(_) if self.in_hand() >= self.sheet.bounds.most_in_hand => {
                 return Some(FULL.to_string());
             }
             Message::Take(take) => self.take(key, &take),
             Message::GiveUp { command } => {
                 if let Some(command) = self.floor.given_up(key, command) {
-                    self.desk.abandoned(self.floor.now, command);
-                    self.floor.release(command);
+                    self.forsaken(command);
                 }
             }
             Message::Hello(h) if h.lowest <= VERSION && h.highest >= VERSION && h.role == Role::Client => {}
@@ -512,11 +529,21 @@
     fn client_gone(&mut self, key: usize, why: &str) {
         tracing::debug!(client = key, why, "a client has gone");
         for command in self.floor.client_gone(key) {
-            self.desk.abandoned(self.floor.now, command);
-            self.floor.release(command);
+            self.forsaken(command);
         }
     }
 
+    /// Nobody waits for a command any more, or for a read in pieces.
+    fn forsaken(&mut self, command: u64) {
+        if command & WHOLE != 0 {
+            self.end_pieces(command);
+            self.floor.wholes.remove(&command);
+            return;
+        }
+        self.desk.abandoned(self.floor.now, command);
+        self.floor.release(command);
+    }
+
     /// Takes a command, or says at once that this host cannot: nothing ran, so trying again is harmless.
     fn take(&mut self, key: usize, take: &Take) {
         let refuse = |floor: &mut Floor, why: &str| {
@@ -541,18 +568,8 @@
         if self.floor.has_command(key, take.command) {
             return refuse(&mut self.floor, "number-in-use");
         }
-        let (shard, version) = self.place(take.volume, take.key);
         let age = self.stood.age().max(self.floor.held_back(key));
-        let command = Command {
-            band,
-            plan: volume.plan,
-            volume: 0,
-            key: None,
-            units,
-            shard,
-            hosts: volume.hosts,
-            time_limit: f64::from(take.limit_us) / 1000.0 - age,
-        };
+        let time_limit = f64::from(take.limit_us) / 1000.0 - age;
         let span = tracing::info_span!(
             target: "command",
             "command",
@@ -561,14 +578,173 @@
             volume = volume.name,
             band = self.sheet.bands[band],
         );
+        match self.pieces(take) {
+            Err(why) => refuse(&mut self.floor, why),
+            Ok(pieces) if pieces.len() > 1 => self.take_whole(key, take, pieces, time_limit, span),
+            Ok(_) => {
+                let client = Some((key, take.command));
+                self.admit(client, None, take, time_limit, span);
+            }
+        }
+    }
+
+    /// The pieces in which a command must travel, or why it cannot at all.
+    fn pieces(&self, take: &Take) -> Result<Vec<(u64, u64)>, &'static str> {
+        let (start, end) = (take.key, take.key.saturating_add(u64::from(take.blocks.max(1))));
+        if end - start == 1 {
+            return Ok(vec![(start, end)]);
+        }
+        if start == 0 || end == u64::MAX {
+            return Err("impossible-range");
+        }
+        let Some(edges) = self.floor.map.edges(take.volume, start, end) else {
+            // Without the map of a volume that lies on several shards nobody knows where a range lies.
+            let shards = self.sheet.volumes.get(&take.volume).map_or(0, |v| v.shards.len());
+            return if shards > 1 { Err("unmapped-range") } else { Ok(vec![(start, end)]) };
+        };
+        let band = &self.sheet.start.bands[usize::from(take.band)];
+        let cuts = !take.write && band.repeats == Repeats::Retriable && !band.in_order;
+        let most = if cuts { self.sheet.split.blocks } else { u64::MAX };
+        let pieces = cut(start, end, edges.into_iter(), most);
+        // Half of a write cannot be taken back, and pieces of what has an order or a mark would be repeats.
+        if pieces.len() > 1 && !cuts {
+            return Err("crosses-extents");
+        }
+        Ok(pieces)
+    }
+
+    /// Takes a command, or a piece of one, to the desk, past the earlier writes that it overlaps.
+    fn admit(
+        &mut self,
+        client: Option<(usize, u64)>,
+        piece_of: Option<(u64, usize)>,
+        take: &Take,
+        time_limit: Ms,
+        span: tracing::Span,
+    ) -> Option<u64> {
+        let volume = self.sheet.volumes.get(&take.volume)?;
+        let (plan, hosts, band) = (volume.plan, volume.hosts, usize::from(take.band));
+        let (shard, version) = self.place(take.volume, take.key);
         let placed = (shard.map_or(u32::MAX, |s| s as u32), version);
-        let Some(id) = self.floor.take(key, take, placed, command.time_limit, span) else { return };
+        let id = self.floor.take(Admitted { client, piece_of, take, placed, time_limit, span })?;
+        let command = Command {
+            band,
+            plan,
+            volume: 0,
+            key: None,
+            units: f64::from(take.units),
+            shard,
+            hosts,
+            time_limit,
+            counts: f64::from(piece_of.is_none_or(|(_, piece)| piece == 0)),
+            with: None,
+        };
         // A key is a piece of its volume; the module knows keys by one number.
-        let piece = xxh3_64(&[take.volume.to_le_bytes(), take.key.to_le_bytes()].concat()).max(1);
-        let piece = if take.key == 0 { 0 } else { piece };
-        let taken = Taken { id, key: piece, volume: take.volume, command };
-        self.desk.take(self.floor.now, taken, &mut self.floor);
-        self.floor.release(id);
+        let key = xxh3_64(&[take.volume.to_le_bytes(), take.key.to_le_bytes()].concat()).max(1);
+        let key = if take.key == 0 { 0 } else { key };
+        let line = Some(key).filter(|_| self.sheet.start.bands[band].in_order);
+        let taken = Taken { id, key, volume: take.volume, command };
+        // Past its soft limit nobody would send it, so that nothing is lost by ending it then.
+        let until = self.floor.now + self.sheet.start.bands[band].soft_limit.min(time_limit);
+        if let Some(taken) = self.floor.enter(taken, line, until) {
+            self.desk.take(self.floor.now, taken, &mut self.floor);
+            self.floor.release(id);
+        }
+        Some(id)
+    }
+
+    /// A write that still waits for an earlier one is the module's to end: no time is left to send it.
+    fn gate_late(&mut self, command: u64) {
+        if self.floor.gate.waits(command) {
+            self.floor.gate.pass(command);
+            if let Some(mut taken) = self.floor.ungate(command) {
+                taken.command.time_limit = 0.0;
+                self.desk.take(self.floor.now, taken, &mut self.floor);
+            }
+        }
+    }
+
+    // Reads in pieces.
+
+    fn take_whole(
+        &mut self,
+        key: usize,
+        take: &Take,
+        pieces: Vec<(u64, u64)>,
+        time_limit: Ms,
+        span: tracing::Span,
+    ) {
+        let blocks = pieces.iter().map(|p| p.1 - p.0).sum::<u64>().max(1);
+        let whole = Whole {
+            client: (key, take.command),
+            gather: Gather::new(pieces.len(), self.sheet.split.at_once, MOST_PAYLOAD),
+            ids: vec![None; pieces.len()],
+            pieces,
+            band: take.band,
+            volume: take.volume,
+            mark: take.mark,
+            units: take.units / blocks as f32,
+            ends: self.floor.now + time_limit,
+            span,
+        };
+        if let Some(id) = self.floor.keep_whole(whole) {
+            self.begin_pieces(id);
+        }
+    }
+
+    /// Asks for as many pieces of a read as may be out.
+    fn begin_pieces(&mut self, id: u64) {
+        loop {
+            let now = self.floor.now;
+            let Some(whole) = self.floor.wholes.get_mut(&id) else { return };
+            let Some(piece) = whole.gather.begin() else { return };
+            let (start, end) = whole.pieces[piece];
+            let take = Take {
+                command: 0,
+                band: whole.band,
+                write: false,
+                volume: whole.volume,
+                key: start,
+                mark: whole.mark,
+                units: whole.units * (end - start) as f32,
+                limit_us: 0,
+                blocks: (end - start) as u32,
+                payload: &[],
+            };
+            let (time_limit, span) = (whole.ends - now, whole.span.clone());
+            let command = self.admit(None, Some((id, piece)), &take, time_limit, span);
+            if let Some(whole) = self.floor.wholes.get_mut(&id) {
+                whole.ids[piece] = command;
+            }
+        }
+    }
+
+    fn piece_ended(&mut self, ended: PieceEnded) {
+        let PieceEnded { whole: id, piece, verdict, back, payload } = ended;
+        let Some(whole) = self.floor.wholes.get_mut(&id) else { return };
+        if verdict != Verdict::Settled {
+            self.end_pieces(id);
+            return self.floor.end_whole(id, verdict, back, &payload);
+        }
+        match whole.gather.brought(piece, payload) {
+            Progress::Pending => self.begin_pieces(id),
+            Progress::Whole(all) => self.floor.end_whole(id, Verdict::Settled, 0.0, &all),
+            Progress::TooLarge => {
+                self.end_pieces(id);
+                self.floor.end_whole(id, Verdict::Bounced, 0.0, b"too-large");
+            }
+        }
+    }
+
+    /// Stops the wait for the pieces of a read that are out.
+    fn end_pieces(&mut self, id: u64) {
+        let Some(whole) = self.floor.wholes.get_mut(&id) else { return };
+        let out: Vec<u64> = whole.gather.end().into_iter().filter_map(|piece| whole.ids[piece]).collect();
+        for command in out {
+            self.floor.forsake(command, "piece-not-wanted");
+            self.desk.abandoned(self.floor.now, command);
+            self.floor.release(command);
+        }
     }
 
     fn told_to_stop(&mut self) {
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -66,6 +66,26 @@
     pub volumes: BTreeMap<u64, Volume>,
     pub bounds: Bounds,
     pub log: LogSheet,
+    /// What travels together; one part where merging is off.
+    pub merge: magpiewick_merge::Bounds,
+    pub split: Split,
+}
+
+/// How large reads are cut.
+#[derive(Clone, Debug)]
+pub struct Split {
+    /// The most blocks of a piece; extents are kept apart in any case.
+    pub blocks: u64,
+    /// Pieces of one read that are out at a time.
+    pub at_once: usize,
+}
+
+impl HostSheet {
+    /// Sends every command by itself from now on.
+    pub fn send_alone(&mut self) {
+        self.merge.parts = 1;
+        self.start.most_together = self.start.most_units;
+    }
 }
 
 const REPEATS: [(&str, Repeats); 3] = [
@@ -116,6 +136,7 @@
         budget: None,
         most_units: units,
         mean_units: mean,
+        most_together: units,
         share_payoff: part.field("share_payoff").part_or(0.35),
     };
     if let Some(p) = root.part("cold") {
@@ -135,6 +156,10 @@
         most_in_hand: part.field("most_in_hand").whole_or(1..=10_000_000, 50_000) as usize,
         client_buffer: part.field("client_buffer").whole_or(1024..=1 << 30, 4 << 20) as usize,
     };
+    let merge = merge(root.part("merge"), units);
+    if merge.parts > 1 {
+        start.most_together = merge.units.max(units);
+    }
     Some(HostSheet {
         number: part.field("number").whole_or(0..=u64::from(u32::MAX), 0) as u32,
         listen: part.field("listen").address_or(LOOPBACK),
@@ -147,6 +172,8 @@
         volumes,
         bounds,
         log,
+        merge,
+        split: split(root.part("split")),
     })
 }
 
@@ -171,6 +198,25 @@
     (source, ask_within)
 }
 
+/// Without the block a batch weighs at most two of the largest commands.
+fn merge(part: Option<Part>, most_units: f64) -> magpiewick_merge::Bounds {
+    let (parts, units, bytes, reach) = (8, 2.0 * most_units, 64 << 10, 64);
+    part.map_or(magpiewick_merge::Bounds { parts, units, bytes, reach }, |p| magpiewick_merge::Bounds {
+        parts: p.field("parts").whole_or(1..=256, parts as u64) as usize,
+        units: p.field("units").number_or(units),
+        bytes: p.field("bytes").whole_or(1..=512 << 10, bytes as u64) as usize,
+        reach: p.field("reach").whole_or(0..=1 << 40, reach),
+    })
+}
+
+fn split(part: Option<Part>) -> Split {
+    let (blocks, at_once) = (64, 4);
+    part.map_or(Split { blocks, at_once }, |p| Split {
+        blocks: p.field("blocks").whole_or(1..=1 << 30, blocks),
+        at_once: p.field("at_once").whole_or(1..=256, at_once as u64) as usize,
+    })
+}
+
 fn bands(root: &Part, round: Ms) -> (Vec<Band>, Vec<String>) {
     let parts = root.labelled("band");
     if parts.is_empty() {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -98,9 +98,10 @@
     }
 
     fn take(&mut self, command: u64, band: u16, payload: &[u8]) {
-        let (volume, key, mark, units, limit_us) = (1, 7 + command, command, 1.0, 4_000_000);
+        let (volume, key, mark, units, limit_us, blocks) = (1, 7 + command, command, 1.0, 4_000_000, 1);
         let write = !payload.is_empty();
-        self.say(&Message::Take(Take { command, band, write, volume, key, mark, units, limit_us, payload }));
+        let take = Take { command, band, write, volume, key, mark, units, limit_us, blocks, payload };
+        self.say(&Message::Take(take));
     }
 
     fn greet(&mut self, life: u64, age_us: u64) {
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -25,11 +25,11 @@
     }
 }
 
-/// A frame in the output: where it starts and ends, counted in bytes since the connection began, and its mark.
+/// A frame in the output: where it starts and ends, counted in bytes since the connection began, and its marks.
 struct Frame {
     start: u64,
     end: u64,
-    mark: u64,
+    marks: Vec<u64>,
 }
 
 pub struct Connection {
@@ -127,10 +127,15 @@
 
     /// Puts a message behind what is to be written. `mark` names it to [`Connection::never_left`].
     pub fn queue(&mut self, message: &Message, mark: u64) {
+        self.queue_for(message, if mark == NOTHING { Vec::new() } else { vec![mark] });
+    }
+
+    /// Puts a message that stands for several marks behind what is to be written.
+    pub fn queue_for(&mut self, message: &Message, marks: Vec<u64>) {
         let start = self.before + self.output.len() as u64;
         write(message, &mut self.output);
-        if mark != NOTHING {
-            self.frames.push_back(Frame { start, end: self.before + self.output.len() as u64, mark });
+        if !marks.is_empty() {
+            self.frames.push_back(Frame { start, end: self.before + self.output.len() as u64, marks });
         }
     }
 
@@ -186,7 +191,7 @@
     /// Marks of the frames whose last byte the kernel has not taken: the peer cannot have read them whole, and
     /// a frame that is not whole fails its checksum.
     pub fn never_left(&self) -> Vec<u64> {
-        self.frames.iter().map(|f| f.mark).collect()
+        self.frames.iter().flat_map(|f| &f.marks).copied().collect()
     }
 
     /// Takes marked frames of which no byte was written out of the output; their marks come back. False where a
@@ -199,7 +204,7 @@
             let at = (frame.start - self.before) as usize..(frame.end - self.before) as usize;
             self.output.drain(at);
         }
-        (pulled.drain(..).map(|f| f.mark).collect(), !begun)
+        (pulled.drain(..).flat_map(|f| f.marks).collect(), !begun)
     }
 
     /// Ends the connection so that the peer sees a reset, not an orderly end.
@@ -232,8 +237,8 @@
     }
 
     fn take(command: u64, payload: &[u8]) -> M<'_> {
-        let (band, volume, key, mark, units, limit_us) = (0, 1, 2, command, 1.0, 1000);
-        M::Take(Take { command, band, write: true, volume, key, mark, units, limit_us, payload })
+        let (band, volume, key, mark, units, limit_us, blocks) = (0, 1, 2, command, 1.0, 1000, 1);
+        M::Take(Take { command, band, write: true, volume, key, mark, units, limit_us, blocks, payload })
     }
 
     /// Reads until as many frames came as wanted; the commands in their order.
--- a/crates/nodewire/src/fields.rs
+++ b/crates/nodewire/src/fields.rs
@@ -31,6 +31,16 @@
         Ok(u64::from_le_bytes(self.fixed(field)?))
     }
 
+    pub fn bytes(&mut self, length: usize, field: &'static str) -> Result<&'a [u8], Fault> {
+        let (first, rest) = self.0.split_at_checked(length).ok_or(Fault::CutShort(field))?;
+        self.0 = rest;
+        Ok(first)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// A number that must be finite and not below 0.
     pub fn amount(&mut self, field: &'static str) -> Result<f32, Fault> {
         let value = f32::from_le_bytes(self.fixed(field)?);
--- a/crates/nodewire/src/message.rs
+++ b/crates/nodewire/src/message.rs
@@ -53,6 +53,8 @@
     pub left_us: u32,
     /// The version of the extent as the host knows it; 0 where it follows no map.
     pub version: u32,
+    /// How many blocks from the key on; 0 where the key is a piece by itself, of whatever size.
+    pub blocks: u32,
     pub payload: &'a [u8],
 }
 
@@ -103,6 +105,8 @@
     pub units: f32,
     /// How long the client waits.
     pub limit_us: u32,
+    /// How many blocks from the key on; 0 where the key is a piece by itself.
+    pub blocks: u32,
     pub payload: &'a [u8],
 }
 
@@ -207,6 +211,8 @@
 pub enum Message<'a> {
     Hello(Hello),
     HandOff(HandOff<'a>),
+    /// Hand-offs that travel as one command of the node; each gets its own outcome.
+    Batch(Vec<HandOff<'a>>),
     Outcome(Outcome<'a>),
     Cancel {
         command: u64,
@@ -301,20 +307,7 @@
                 life: f.u64("life")?,
                 age_us: f.u64("age")?,
             }),
-            2 => Message::HandOff(HandOff {
-                command: f.u64("command")?,
-                hand_off: f.u16("hand-off")?,
-                band: f.u16("band")?,
-                write: f.flag("write mark")?,
-                volume: f.u64("volume")?,
-                key: f.u64("key")?,
-                mark: f.u64("mark")?,
-                units: f.amount("units")?,
-                shard: f.u32("shard")?,
-                left_us: f.u32("time left")?,
-                version: f.u32("version")?,
-                payload: payload_within(payload)?,
-            }),
+            2 => Message::HandOff(hand_off(f, payload)?),
             3 => Message::Outcome(Outcome {
                 command: f.u64("command")?,
                 hand_off: f.u16("hand-off")?,
@@ -343,6 +336,7 @@
                 mark: f.u64("mark")?,
                 units: f.amount("units")?,
                 limit_us: f.u32("time limit")?,
+                blocks: f.u32("blocks")?,
                 payload: payload_within(payload)?,
             }),
             8 => Message::Final(Final {
@@ -380,6 +374,7 @@
                 to: f.u32("target")?,
                 stage: pick(&STAGES, f.u8("stage")?, "stage")?,
             },
+            17 => Message::Batch(batch(f.u16("parts")?, payload)?),
             _ => return Ok(None),
         }))
     }
@@ -393,12 +388,13 @@
                 (1, &[])
             }
             Message::HandOff(m) => {
-                put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &m.band.to_le_bytes()]);
-                put(out, &[&[u8::from(m.write)], &m.volume.to_le_bytes(), &m.key.to_le_bytes()]);
-                put(out, &[&m.mark.to_le_bytes(), &m.units.to_le_bytes(), &m.shard.to_le_bytes()]);
-                put(out, &[&m.left_us.to_le_bytes(), &m.version.to_le_bytes()]);
+                put_hand_off(out, m);
                 (2, m.payload)
             }
+            Message::Batch(parts) => {
+                put(out, &[&(parts.len() as u16).to_le_bytes()]);
+                (17, &[])
+            }
             Message::Outcome(m) => {
                 put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &[place(&CODES, &m.code)]]);
                 put(out, &[&m.used.unwrap_or(NO_USE).to_le_bytes(), &m.others.to_le_bytes()]);
@@ -421,7 +417,7 @@
             Message::Take(m) => {
                 put(out, &[&m.command.to_le_bytes(), &m.band.to_le_bytes(), &[u8::from(m.write)]]);
                 put(out, &[&m.volume.to_le_bytes(), &m.key.to_le_bytes(), &m.mark.to_le_bytes()]);
-                put(out, &[&m.units.to_le_bytes(), &m.limit_us.to_le_bytes()]);
+                put(out, &[&m.units.to_le_bytes(), &m.limit_us.to_le_bytes(), &m.blocks.to_le_bytes()]);
                 (7, m.payload)
             }
             Message::Final(m) => {
@@ -470,6 +466,12 @@
                 put(out, &[&l.at.to_le_bytes(), &l.shard.to_le_bytes(), &l.version.to_le_bytes()]);
             }
         }
+        if let Message::Batch(parts) = self {
+            for part in parts {
+                put_hand_off(out, part);
+                put(out, &[&(part.payload.len() as u32).to_le_bytes(), part.payload]);
+            }
+        }
         let Message::List(list) = self else { return };
         for l in &list.lines {
             put(out, &[&l.node.to_le_bytes(), &l.shard.to_le_bytes(), &l.zone.to_le_bytes()]);
@@ -483,6 +485,47 @@
     parts.iter().for_each(|part| out.extend_from_slice(part));
 }
 
+fn hand_off<'a>(f: &mut Fields, payload: &'a [u8]) -> Result<HandOff<'a>, Fault> {
+    Ok(HandOff { payload: payload_within(payload)?, ..hand_off_fields(f)? })
+}
+
+fn hand_off_fields(f: &mut Fields) -> Result<HandOff<'static>, Fault> {
+    Ok(HandOff {
+        command: f.u64("command")?,
+        hand_off: f.u16("hand-off")?,
+        band: f.u16("band")?,
+        write: f.flag("write mark")?,
+        volume: f.u64("volume")?,
+        key: f.u64("key")?,
+        mark: f.u64("mark")?,
+        units: f.amount("units")?,
+        shard: f.u32("shard")?,
+        left_us: f.u32("time left")?,
+        version: f.u32("version")?,
+        blocks: f.u32("blocks")?,
+        payload: &[],
+    })
+}
+
+fn put_hand_off(out: &mut Vec<u8>, m: &HandOff) {
+    put(out, &[&m.command.to_le_bytes(), &m.hand_off.to_le_bytes(), &m.band.to_le_bytes()]);
+    put(out, &[&[u8::from(m.write)], &m.volume.to_le_bytes(), &m.key.to_le_bytes()]);
+    put(out, &[&m.mark.to_le_bytes(), &m.units.to_le_bytes(), &m.shard.to_le_bytes()]);
+    put(out, &[&m.left_us.to_le_bytes(), &m.version.to_le_bytes(), &m.blocks.to_le_bytes()]);
+}
+
+/// Reads the parts of a batch. Nothing is sized by the promised count.
+fn batch(parts: u16, payload: &[u8]) -> Result<Vec<HandOff<'_>>, Fault> {
+    let mut f = Fields::new(payload);
+    let mut all = Vec::new();
+    for _ in 0..parts {
+        let part = hand_off_fields(&mut f)?;
+        let length = f.u32("length of a part")? as usize;
+        all.push(HandOff { payload: f.bytes(length, "part")?, ..part });
+    }
+    (f.is_empty() && !all.is_empty()).then_some(all).ok_or(Fault::Impossible("number of parts"))
+}
+
 fn map_lines(bytes: &[u8]) -> Result<Vec<MapLine>, Fault> {
     if !bytes.len().is_multiple_of(MAP_LINE) {
         return Err(Fault::Impossible("length of the map's news"));
--- a/crates/nodewire/tests/codec.rs
+++ b/crates/nodewire/tests/codec.rs
@@ -49,6 +49,7 @@
                 shard: *d as u32,
                 left_us: *a as u32,
                 version: *b as u32,
+                blocks: *c as u32,
                 payload,
             }),
             2 => Message::Outcome(Outcome {
@@ -75,6 +76,7 @@
                 mark: *b,
                 units: *x,
                 limit_us: *c as u32,
+                blocks: *a as u32,
                 payload,
             }),
             7 => Message::Final(Final {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -36,6 +36,11 @@
     pub key: u64,
     pub mark: u64,
     pub units: f64,
+    pub blocks: u32,
+    pub version: u32,
+    /// Numbers the node's command that it came with, and how many came with that.
+    pub batch: u64,
+    pub parts: usize,
     pub payload: Vec<u8>,
     /// A client asked it of the node itself; for measuring what a host adds.
     pub direct: bool,
@@ -59,7 +64,7 @@
 }
 
 enum Due {
-    Job(usize, Box<Arrived>),
+    Job(usize, Vec<Arrived>),
     Late(usize, Box<Arrived>),
     /// Work that was put off is done.
     PutOff(usize),
@@ -93,6 +98,7 @@
     timers: Timers<u64>,
     dues: HashMap<u64, Due>,
     due_number: u64,
+    batches: u64,
     memory: HashMap<(u64, u64), Ms>,
     pub map: Service,
     records: Vec<(Ms, Seen)>,
@@ -168,6 +174,7 @@
             timers: Timers::default(),
             dues: HashMap::new(),
             due_number: 0,
+            batches: 0,
             memory: HashMap::new(),
             map: Service::new(&sheet.volumes, sheet.extents, sheet.keys, sheet.pace),
             records: Vec::new(),
@@ -244,8 +251,8 @@
 
     fn due(&mut self, due: Due) {
         match due {
-            Due::Job(node, job) => self.done(node, *job),
-            Due::Late(node, arrived) => self.arrive(node, *arrived),
+            Due::Job(node, job) => self.done(node, job),
+            Due::Late(node, arrived) => self.arrive(node, vec![*arrived]),
             Due::PutOff(node) => {
                 let n = &mut self.nodes[node];
                 n.still_until = n.still_until.max(self.now + std::mem::take(&mut n.put_off));
@@ -461,8 +468,21 @@
         if self.list_down {
             return;
         }
+        let mut told = news.clone();
+        if self.map.halved {
+            told.lines.truncate(told.lines.len() / 2);
+        }
+        let mut hosts = Vec::new();
         for (_, peer) in self.peers.iter_mut().filter(|(_, p)| p.watching_map) {
-            peer.connection.queue(&Message::Map(news.clone()), NOTHING);
+            peer.connection.queue(&Message::Map(told.clone()), NOTHING);
+            hosts.push(peer.host);
+        }
+        for l in news.lines.iter().filter(|l| l.kind == Mapped::Switch) {
+            let (volume, start, version) = (l.volume, l.start, l.version);
+            let end = self.map.map.find(volume, start).map_or(start, |e| e.end);
+            for host in &hosts {
+                self.see(Seen::MapTold { host: *host, volume, start, end, version });
+            }
         }
     }
 
@@ -594,21 +614,8 @@
                 let state = self.asked_move(*volume, *start, *shard, *abandon);
                 self.peers[index].connection.queue(&state, NOTHING);
             }
-            (Message::HandOff(h), Some(node)) => {
-                let arrived = self.arrived(index, node, h);
-                match &mut self.tamper {
-                    None => self.arrive(node, arrived),
-                    Some(tamper) => {
-                        let number = self.nodes[node].sheet.number;
-                        for (late, arrived) in tamper.pass(self.now, number, arrived) {
-                            match late > 0.0 {
-                                true => self.set(self.now + late, Due::Late(node, Box::new(arrived))),
-                                false => self.arrive(node, arrived),
-                            }
-                        }
-                    }
-                }
-            }
+            (Message::HandOff(h), Some(node)) => self.handed(index, node, std::slice::from_ref(h)),
+            (Message::Batch(parts), Some(node)) => self.handed(index, node, parts),
             (Message::Take(t), Some(node)) => {
                 let (command, band, write, volume, key) = (t.command, t.band, t.write, t.volume, t.key);
                 let (mark, units, payload, left_us) = (t.mark, t.units, t.payload, t.limit_us);
@@ -625,16 +632,19 @@
                     shard,
                     left_us,
                     version: 0,
+                    blocks: t.blocks,
                     payload,
                 };
-                let arrived = Arrived { direct: true, ..self.arrived(index, node, &h) };
-                self.arrive(node, arrived);
+                let arrived = Arrived { direct: true, ..self.arrived(index, node, &h, 1) };
+                self.arrive(node, vec![arrived]);
             }
             (Message::Cancel { command, hand_off }, Some(node)) => {
                 let number = self.nodes[node].sheet.number;
                 self.see(Seen::Cancelled { node: number, host, command: *command, hand_off: *hand_off });
                 let is = |a: &Arrived| (a.host, a.command, a.hand_off) == (host, *command, *hand_off);
-                self.nodes[node].waiting.retain(|a| !is(a));
+                let waiting = &mut self.nodes[node].waiting;
+                waiting.iter_mut().for_each(|job| job.retain(|a| !is(a)));
+                waiting.retain(|job| !job.is_empty());
             }
             (Message::Probe { number }, Some(node)) => {
                 let n = &self.nodes[node];
@@ -647,7 +657,27 @@
         true
     }
 
-    fn arrived(&self, index: usize, node: usize, h: &HandOff) -> Arrived {
+    /// Takes in what a host handed over as one command.
+    fn handed(&mut self, index: usize, node: usize, parts: &[HandOff]) {
+        self.batches += 1;
+        let mut now = Vec::new();
+        for h in parts {
+            let arrived = self.arrived(index, node, h, parts.len());
+            let Some(tamper) = &mut self.tamper else {
+                now.push(arrived);
+                continue;
+            };
+            for (late, arrived) in tamper.pass(self.now, self.nodes[node].sheet.number, arrived) {
+                match late > 0.0 {
+                    true => self.set(self.now + late, Due::Late(node, Box::new(arrived))),
+                    false => now.push(arrived),
+                }
+            }
+        }
+        self.arrive(node, now);
+    }
+
+    fn arrived(&self, index: usize, node: usize, h: &HandOff, parts: usize) -> Arrived {
         let peer = &self.peers[index];
         Arrived {
             host: peer.host,
@@ -662,6 +692,10 @@
             key: h.key,
             mark: h.mark,
             units: f64::from(h.units),
+            blocks: h.blocks,
+            version: h.version,
+            batch: self.batches,
+            parts,
             payload: h.payload.to_vec(),
             direct: false,
         }
@@ -669,28 +703,66 @@
 
     // Work.
 
-    fn arrive(&mut self, node: usize, a: Arrived) {
-        let n = &mut self.nodes[node];
-        if !n.up || n.life != a.life {
-            return;
-        }
-        let number = n.sheet.number;
-        let (host, command, hand_off, band) = (a.host, a.command, a.hand_off, a.band);
-        let (volume, key, mark, units) = (a.volume, a.key, a.mark, a.units);
-        self.see(Seen::HandOff { node: number, host, command, hand_off, band, volume, key, mark, units });
-        let n = &mut self.nodes[node];
-        if n.pushed_over(self.now, units, self.sheet.unit_work, &self.sheet.cold) {
-            self.see(Seen::Fell { node: number });
-            return self.stop(node);
-        }
-        if self.map.serves(n.sheet.shard, volume, key).is_err() {
-            return self.answer(node, &a, Code::Moved, &[]);
+    fn arrive(&mut self, node: usize, parts: Vec<Arrived>) {
+        let mut job = Vec::with_capacity(parts.len());
+        for a in parts {
+            let n = &mut self.nodes[node];
+            if !n.up || n.life != a.life {
+                return;
+            }
+            let (number, shard) = (n.sheet.number, n.sheet.shard);
+            let Arrived {
+                host,
+                command,
+                hand_off,
+                band,
+                volume,
+                key,
+                mark,
+                units,
+                write,
+                batch,
+                version,
+                ..
+            } = a;
+            self.see(Seen::HandOff {
+                node: number,
+                host,
+                command,
+                hand_off,
+                band,
+                volume,
+                key,
+                mark,
+                units,
+                write,
+                version,
+                batch,
+            });
+            let n = &mut self.nodes[node];
+            if n.pushed_over(self.now, units, self.sheet.unit_work, &self.sheet.cold) {
+                self.see(Seen::Fell { node: number });
+                return self.stop(node);
+            }
+            let full = n.ailing.full || n.waiting.len() >= self.sheet.queue;
+            if self.map.serves_all(shard, volume, key, a.blocks).is_err() {
+                self.answer(node, &a, Code::Moved, &[]);
+            } else if full || self.strikes(node) {
+                self.answer(node, &a, Code::Full, &[]);
+            } else {
+                job.push(a);
+            }
         }
-        if n.ailing.full || n.waiting.len() >= self.sheet.queue {
-            return self.answer(node, &a, Code::Full, &[]);
+        if !job.is_empty() {
+            self.nodes[node].waiting.push_back(job);
+            self.work(node);
         }
-        n.waiting.push_back(a);
-        self.work(node);
+    }
+
+    /// Whether a node that fails partly does so now, in one of its three ways.
+    fn strikes(&mut self, node: usize) -> bool {
+        let part = self.nodes[node].ailing.partly / 3.0;
+        part > 0.0 && self.draw() < part
     }
 
     fn work(&mut self, node: usize) {
@@ -704,49 +776,65 @@
                 let at = n.still_until;
                 return self.set(at, Due::Again(node));
             }
-            let Some(job) = n.waiting.pop_front() else { return };
+            let Some(mut job) = n.waiting.pop_front() else { return };
             // A command whose time is up is not begun.
-            if self.now >= job.ends {
+            job.retain(|part| self.now < part.ends);
+            if job.is_empty() {
                 continue;
             }
-            let mut time = n.work(self.now, job.units, unit_work, &cold);
-            if job.write {
+            let units = job.iter().map(|part| part.units).sum();
+            let mut time = n.work(self.now, units, unit_work, &cold);
+            if job[0].write {
                 n.put_off += time * self.sheet.put_off / n.sheet.cores as f64;
                 time *= 1.0 - self.sheet.put_off;
             }
+            time += self.sheet.command_work * n.ailing.slow / n.sheet.speed;
             n.running += 1;
             let at = self.now + time;
             if time <= 0.0 {
                 self.done(node, job);
             } else {
-                self.set(at, Due::Job(node, Box::new(job)));
+                self.set(at, Due::Job(node, job));
             }
         }
     }
 
-    fn done(&mut self, node: usize, job: Arrived) {
-        if !self.nodes[node].up || self.nodes[node].life != job.life {
+    fn done(&mut self, node: usize, job: Vec<Arrived>) {
+        if !self.nodes[node].up || self.nodes[node].life != job[0].life {
             return;
         }
         self.nodes[node].running -= 1;
+        for part in &job {
+            // Whoever broke the connection off at an answer has ended nothing else.
+            self.run_part(node, part);
+        }
+        self.work(node);
+    }
+
+    fn run_part(&mut self, node: usize, job: &Arrived) {
         let (number, shard) = (self.nodes[node].sheet.number, self.nodes[node].sheet.shard);
         // What began before the extent was fenced has had no effect yet, and has none any more.
-        if self.map.serves(shard, job.volume, job.key).is_err() {
-            self.answer(node, &job, Code::Moved, &[]);
-            return self.work(node);
+        if self.map.serves_all(shard, job.volume, job.key, job.blocks).is_err() {
+            return self.answer(node, job, Code::Moved, &[]);
         }
-        if !self.is_repeat(node, &job) {
+        if self.strikes(node) {
+            return self.answer(node, job, Code::Error, &[]);
+        }
+        if !self.is_repeat(node, job) {
             let (host, command, band, mark) = (job.host, job.command, job.band, job.mark);
-            let (volume, key, write) = (job.volume, job.key, job.write);
-            self.see(Seen::Ran { node: number, host, command, band, volume, key, mark, write });
+            let (volume, key, write, blocks) = (job.volume, job.key, job.write, job.blocks.max(1));
+            self.see(Seen::Ran { node: number, host, command, band, volume, key, mark, write, blocks });
             if job.write {
-                self.map.write(shard, volume, key, &job.payload);
+                self.map.write_all(shard, volume, key, blocks, &job.payload);
             }
         }
-        let found = self.map.read(shard, job.volume, job.key).filter(|_| !job.write);
-        let found = found.cloned().unwrap_or_default();
-        self.answer(node, &job, Code::Settled, &found);
-        self.work(node);
+        let found = match job.write {
+            true => Vec::new(),
+            false => self.map.read_all(shard, job.volume, job.key, job.blocks, self.sheet.block),
+        };
+        if !self.strikes(node) {
+            self.answer(node, job, Code::Settled, &found);
+        }
     }
 
     /// Whether the nodes of this one's group have run the command before and still know.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -42,6 +42,10 @@
         key: u64,
         mark: u64,
         units: f64,
+        write: bool,
+        version: u32,
+        /// Numbers the node's command that it came with.
+        batch: u64,
     },
     /// A command's effect took place.
     Ran {
@@ -53,6 +57,7 @@
         key: u64,
         mark: u64,
         write: bool,
+        blocks: u32,
     },
     /// An extent has a new owner, or is served again under a new version.
     Switched {
@@ -81,6 +86,14 @@
         node: u32,
         host: u64,
     },
+    /// A host was told that an extent has another version.
+    MapTold {
+        host: u64,
+        volume: u64,
+        start: u64,
+        end: u64,
+        version: u32,
+    },
     /// A host was told that a node takes nothing new any more.
     Told {
         host: u64,
--- a/crates/standin/src/moves.rs
+++ b/crates/standin/src/moves.rs
@@ -36,8 +36,11 @@
     pub down: bool,
     /// A fault of the rig: a source goes on taking commands after its fence.
     pub leaky: bool,
-    /// Another: who does not serve an extent answers as if it had.
+    /// Others: who does not serve an extent answers as if it had; reads of several blocks are answered with the
+    /// first of them last; hosts are told only half of the lines of the map's news.
     pub denied: bool,
+    pub swapped: bool,
+    pub halved: bool,
     pace: Pace,
 }
 
@@ -61,6 +64,8 @@
             down: false,
             leaky: false,
             denied: false,
+            swapped: false,
+            halved: false,
             pace,
         }
     }
@@ -79,6 +84,43 @@
         }
     }
 
+    /// As [`Service::serves`], for the first and the last block of a range.
+    pub fn serves_all(
+        &self,
+        shard: u32,
+        volume: u64,
+        key: u64,
+        blocks: u32,
+    ) -> Result<(), Option<(u32, u32)>> {
+        self.serves(shard, volume, key)?;
+        self.serves(shard, volume, key + u64::from(blocks.max(1)) - 1)
+    }
+
+    /// Writes a range whose blocks are parts of the payload of one size.
+    pub fn write_all(&mut self, shard: u32, volume: u64, key: u64, blocks: u32, payload: &[u8]) {
+        let size = payload.len().div_ceil(blocks.max(1) as usize).max(1);
+        for (key, block) in (key..key + u64::from(blocks.max(1))).zip(payload.chunks(size)) {
+            self.write(shard, volume, key, block);
+        }
+    }
+
+    /// A piece as it is, or a range in blocks of one size.
+    pub fn read_all(&self, shard: u32, volume: u64, key: u64, blocks: u32, block: usize) -> Vec<u8> {
+        if blocks == 0 {
+            return self.read(shard, volume, key).cloned().unwrap_or_default();
+        }
+        let mut all = Vec::with_capacity(blocks as usize * block);
+        for (n, key) in (key..key + u64::from(blocks)).enumerate() {
+            let held = self.read(shard, volume, key).map_or(&[][..], |held| &held[..held.len().min(block)]);
+            all.extend_from_slice(held);
+            all.resize((n + 1) * block, 0);
+        }
+        if self.swapped {
+            all.rotate_left(block);
+        }
+        all
+    }
+
     pub fn write(&mut self, shard: u32, volume: u64, key: u64, payload: &[u8]) {
         self.stores.entry((shard, volume)).or_default().insert(key, payload.to_vec());
         if let Some(e) = self.map.find(volume, key) {
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -19,6 +19,8 @@
     pub full: bool,
     /// Greets nobody, begins nothing and answers nothing; what comes is noted when it comes, for the record.
     pub deaf: bool,
+    /// The part of commands that it turns away, fails or answers in vain, each a third.
+    pub partly: f64,
     /// Breaks the next answer off in its middle, and the connection with it.
     pub breaking: bool,
     /// Tells nothing of what it served through other hosts.
@@ -31,6 +33,7 @@
     slow: 1.0,
     full: false,
     deaf: false,
+    partly: 0.0,
     breaking: false,
     mute_meter: false,
 };
@@ -46,7 +49,8 @@
     /// None: long ago.
     pub started: Option<Ms>,
     pub ailing: Ailing,
-    pub waiting: VecDeque<Arrived>,
+    /// What came together is one command of the node.
+    pub waiting: VecDeque<Vec<Arrived>>,
     pub running: usize,
     /// Until when it stands still, and the work that it has put off.
     pub still_until: Ms,
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -30,9 +30,10 @@
     AbandonMove,
     MoversDie,
     MapDown,
+    Partly,
 }
 
-const KINDS: [(&str, Kind); 21] = [
+const KINDS: [(&str, Kind); 22] = [
     ("silent", Kind::Silent),
     ("answers-lost", Kind::AnswersLost),
     ("slow", Kind::Slow),
@@ -54,6 +55,7 @@
     ("abandon-move", Kind::AbandonMove),
     ("movers-die", Kind::MoversDie),
     ("map-down", Kind::MapDown),
+    ("partly", Kind::Partly),
 ];
 
 /// One trouble of a script.
@@ -82,6 +84,7 @@
     Meter(u32, bool),
     Full(u32, bool),
     Deaf(u32, bool),
+    Partly(u32, f64),
     Breaking(u32),
     Stop(u32),
     StartCold(u32),
@@ -149,6 +152,7 @@
                 Kind::Slow => both(&mut steps, Step::Slow(node, self.amount), Step::Slow(node, 1.0)),
                 Kind::ReportsLate => both(&mut steps, Step::Meter(node, true), Step::Meter(node, false)),
                 Kind::FullQueue => both(&mut steps, Step::Full(node, true), Step::Full(node, false)),
+                Kind::Partly => both(&mut steps, Step::Partly(node, self.amount), Step::Partly(node, 0.0)),
                 Kind::Deaf => both(&mut steps, Step::Deaf(node, true), Step::Deaf(node, false)),
                 Kind::Crash => {
                     both(&mut steps, Step::Stop(node), Step::StartCold(node));
@@ -231,6 +235,7 @@
             Step::Meter(n, mute) => on(fleet, n, &|f, n| f.ail(n, |a| a.mute_meter = mute)),
             Step::Full(n, yes) => on(fleet, n, &|f, n| f.ail(n, |a| a.full = yes)),
             Step::Deaf(n, yes) => on(fleet, n, &|f, n| f.ail(n, |a| a.deaf = yes)),
+            Step::Partly(n, part) => on(fleet, n, &|f, n| f.ail(n, |a| a.partly = part)),
             Step::Breaking(n) => on(fleet, n, &|f, n| f.ail(n, |a| a.breaking = true)),
             Step::Stop(n) => on(fleet, n, &|f, n| f.stop(n)),
             Step::StartCold(n) => on(fleet, n, &|f, n| {
--- a/crates/standin/src/sheet.rs
+++ b/crates/standin/src/sheet.rs
@@ -43,6 +43,10 @@
     pub list_late: Ms,
     /// Work of a unit at a speed of 1.
     pub unit_work: Ms,
+    /// Work of a command of the node, whatever it holds.
+    pub command_work: Ms,
+    /// Bytes of a block in the answer to a read of several.
+    pub block: usize,
     pub queue: usize,
     pub cold: Cold,
     /// The bands, by number, whose repeats are dropped, among which nodes, and for how long.
@@ -85,6 +89,8 @@
         list: p.field("list").address_or(ANY),
         list_late: p.field("list_late").time_or(0.0),
         unit_work: p.field("unit_work").time_or(1.0),
+        command_work: p.field("command_work").time_or(0.0),
+        block: p.field("block").whole_or(8..=1 << 20, 64) as usize,
         queue: p.field("queue").whole_or(1..=1 << 20, 256) as usize,
         cold: cold(p.part("cold")),
         fingerprinted: fingerprinted.into_iter().map(|band| band as u16).collect(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -131,8 +131,11 @@
     lined: u32,
 }
 
-/// A hand-off that is out; `passed` counts those sent after it and answered before it.
+/// A hand-off that is out; `passed` counts those sent after it and answered before it, `load` the units of
+/// all that travel with it, which share one place of the window.
 struct Out {
+    batch: u64,
+    load: f64,
     id: usize,
     hand_off: u32,
     at: Ms,
@@ -186,7 +189,13 @@
         let latency = self.latency.unwrap_or(0.0);
         let spared = self.window >= 1.0 || spared && latency <= self.soft_limit;
         let rested = spared || now >= self.sent + latency / self.window;
-        open && rested && (self.out.len() as f64) < self.window.max(1.0) && !self.silent(now)
+        open && rested && self.places() < self.window.max(1.0) && !self.silent(now)
+    }
+
+    /// The places of the window that are taken: one for all that left together, until the last of them ends.
+    fn places(&self) -> f64 {
+        let mut last = 0;
+        self.out.iter().filter(|o| std::mem::replace(&mut last, o.batch) != o.batch).count() as f64
     }
 
     fn set_back(&mut self, now: Ms, least: f64, part: f64) {
@@ -238,6 +247,7 @@
     chance: WyRand,
     born: Ms,
     turns: u64,
+    batches: u64,
     held: Vec<Option<Held>>,
     outside: BTreeMap<u64, usize>,
     nodes: Vec<Option<Node>>,
@@ -270,6 +280,7 @@
             chance: WyRand::new_seed(start.seed),
             born: now,
             turns: 0,
+            batches: 0,
             held: Vec::new(),
             outside: BTreeMap::new(),
             nodes: Vec::new(),
@@ -292,6 +303,9 @@
 
     /// Where to send this command: asked when it is taken, and each time `wait` names it.
     pub fn place(&mut self, now: Ms, id: usize, cmd: &Command) -> Where {
+        if let Some(first) = cmd.with {
+            return self.ride(now, id, first);
+        }
         if self.held.len() <= id {
             self.held.resize_with(id + 1, || None);
         }
@@ -300,7 +314,9 @@
         }
         self.line_up(now, id);
         match self.held[id].as_ref().map(|h| (h.stage, self.hopeless(now, h))) {
-            Some((Stage::Lined(node), _)) if self.next_of(now, node) == Some(id) => self.send(now, id, node),
+            Some((Stage::Lined(node), _)) if self.next_of(now, node) == Some(id) => {
+                self.send(now, id, node, false)
+            }
             Some((Stage::Lined(_) | Stage::Outside, true)) => Where::Never(self.end(now, id)),
             _ => Where::NotYet,
         }
@@ -474,7 +490,7 @@
     }
 
     fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
-        self.taken.add(now, 1.0);
+        self.taken.add(now, cmd.counts);
         self.turns += 1;
         // A client's later try, or one that waited for a stalled host, comes with less than the usual time
         // limit. Where clients of a plan are impatient that is no sign, but a key that failed here lately is:
@@ -633,7 +649,7 @@
         let p = n.potential;
         n.flows.retain(|_, f| f.lined > 0 || now - f.seen < SEEN || f.last_finish > p);
         let all: f64 = n.flows.values().map(|f| f.weight).sum();
-        n.frame_units = self.start.most_units * all / self.least;
+        n.frame_units = self.start.most_together * all / self.least;
         let length = units * all / (n.frame_units * weight);
         let Some(flow) = n.flows.get_mut(&(cmd.volume, reserved)) else { return };
         let start = flow.last_finish.max(p);
@@ -720,7 +736,7 @@
         self.further.sum(now, true) + 1.0 <= b.free + b.share * self.taken.sum(now, false)
     }
 
-    fn send(&mut self, now: Ms, id: usize, node: usize) -> Where {
+    fn send(&mut self, now: Ms, id: usize, node: usize, rides: bool) -> Where {
         let (Some(Some(h)), Some(n)) = (self.held.get_mut(id), &mut self.nodes[node]) else {
             return Where::NotYet;
         };
@@ -739,7 +755,9 @@
         }
         let hand_off = h.hand_offs;
         let patience = self.start.bands[h.cmd.band].soft_limit;
-        n.out.push(Out { id, hand_off, at: now, patience, passed: 0, cancelled: false });
+        self.batches += u64::from(!rides);
+        let (batch, load) = (self.batches, h.cmd.units);
+        n.out.push(Out { batch, load, id, hand_off, at: now, patience, passed: 0, cancelled: false });
         n.credit -= h.cmd.units;
         if h.hand_offs > 0 {
             self.further.add(now, 1.0);
@@ -754,16 +772,43 @@
         Where::To { node, time_out: h.ends - now }
     }
 
+    /// Lets a lined command leave with the one that has just been sent, where nothing would forbid it to be next
+    /// but the order of tags, and its tag starts less than a frame after that one's. Guards the mechanism's
+    /// bounds, whatever travels together; it could harm those of other volumes that would leave before it: they
+    /// wait for what the batch adds, and its volume's next tags are later for it.
+    fn ride(&mut self, now: Ms, id: usize, first: usize) -> Where {
+        let held = |id: usize| self.held.get(id).and_then(|h| h.as_ref());
+        let (Some(h), Some((Stage::Out(node), tag))) = (held(id), held(first).map(|h| (h.stage, h.tag)))
+        else {
+            return Where::NotYet;
+        };
+        let Some(n) = self.nodes[node].as_ref().filter(|_| h.stage == Stage::Lined(node)) else {
+            return Where::NotYet;
+        };
+        let (further, soon) = (h.hand_offs > 0, h.tag.start < tag.start + 1.0);
+        let leaves = n.out.last().is_some_and(|o| o.at == now);
+        let fits = leaves && soon && now < h.late_at && self.repeats_fit(now, h, node);
+        if !fits || further && !self.budget_has_room(now) || !self.bears(now, node) {
+            return Where::NotYet;
+        }
+        let to = self.send(now, id, node, true);
+        let Some(n) = &mut self.nodes[node] else { return to };
+        let all = n.out.iter().rev().find(|o| o.id == first).map_or(0.0, |o| o.load);
+        let all = all + n.out.last().map_or(0.0, |o| o.load);
+        n.out.iter_mut().filter(|o| o.batch == self.batches).for_each(|o| o.load = all);
+        to
+    }
+
     fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, units: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
-        let crowded = n.out.len() as f64 >= n.window - 1.0;
+        let crowded = n.places() >= n.window - 1.0;
         let silent = n.silent(now);
         let Some(place) = n.out.iter().position(|o| o.id == id) else { return };
-        n.out.remove(place);
+        let load = n.out.remove(place).load;
         match answer.outcome {
             Outcome::Settled => {
                 n.served.add(now, units);
-                let sized = answer.latency * 2.0 / (1.0 + units / self.start.mean_units);
+                let sized = answer.latency * 2.0 / (1.0 + load / self.start.mean_units);
                 n.bests.add(now, sized);
                 let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
                 n.latency = Some(recent);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -83,6 +83,8 @@
     pub budget: Option<Budget>,
     pub most_units: f64,
     pub mean_units: f64,
+    /// The most units that leave together, as one command of a node; never less than `most_units`.
+    pub most_together: f64,
     /// The part of the payoff that units beyond the reserve earn within the volume's share.
     pub share_payoff: f64,
 }
@@ -100,6 +102,10 @@
     pub hosts: f64,
     /// How long after it was taken the client gives up.
     pub time_limit: Ms,
+    /// 1, or 0 for what is a further piece of a command that was cut: the budget counts the command once.
+    pub counts: f64,
+    /// Asked with a command that has just been sent: it leaves with it, as one command of the node, or not now.
+    pub with: Option<usize>,
 }
 
 /// How a hand-off ended.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,7 @@
         budget: Some(Budget { free: 2.0, share: 0.25, window: 1000.0 }),
         most_units: 4.0,
         mean_units: 2.0,
+        most_together: 8.0,
         share_payoff: 0.3,
     }
 }
@@ -68,6 +69,8 @@
         shard: Some(0),
         hosts: 1.0,
         time_limit: 400.0,
+        counts: 1.0,
+        with: None,
     }
 }
 
@@ -76,6 +79,8 @@
     pub at: Ms,
     pub time_out: Ms,
     pub ended: Option<(Outcome, Ms)>,
+    /// The command that it left with; itself where it left first.
+    pub first: usize,
 }
 
 pub struct Seen {
@@ -117,6 +122,8 @@
     pub asked: u32,
     /// Commands whose hand-off was cancelled; time brings the outcome.
     pub cancelled: Vec<usize>,
+    /// Whoever is held is offered to leave with each command that leaves.
+    pub together: bool,
 }
 
 impl World {
@@ -135,6 +142,7 @@
             told: BTreeMap::new(),
             asked: 0,
             cancelled: Vec::new(),
+            together: false,
         };
         w.list(News::Remembered);
         w
@@ -173,12 +181,30 @@
 
     fn ask(&mut self, id: usize) {
         match self.brain.place(self.now, id, &self.seen[id].cmd.clone()) {
-            Where::To { node, time_out } => self.send(id, node, time_out),
+            Where::To { node, time_out } => {
+                self.send(id, node, time_out, id);
+                self.company(id, node);
+            }
             Where::NotYet => {}
             Where::Never(ending) => self.end(id, ending),
         }
     }
 
+    /// Offers whoever is held as company to one that has just left.
+    fn company(&mut self, first: usize, node: usize) {
+        let all = if self.together { self.seen.len() } else { 0 };
+        for id in 0..all {
+            if self.seen[id].answered.is_some() || self.seen[id].out() {
+                continue;
+            }
+            let cmd = Command { with: Some(first), ..self.seen[id].cmd.clone() };
+            if let Where::To { node: other, time_out } = self.brain.place(self.now, id, &cmd) {
+                assert_eq!(other, node, "it left with one that went elsewhere");
+                self.send(id, other, time_out, first);
+            }
+        }
+    }
+
     pub fn outcome(&mut self, id: usize, outcome: Outcome) {
         let (now, seen) = (self.now, &mut self.seen[id]);
         let over = seen.answered.is_some() || outcome == Outcome::Settled;
@@ -256,7 +282,7 @@
         self.seen[id].answered = Some(Some(ending));
     }
 
-    fn send(&mut self, id: usize, node: usize, time_out: Ms) {
+    fn send(&mut self, id: usize, node: usize, time_out: Ms, first: usize) {
         let (now, s) = (self.now, &self.seen[id]);
         let (cmd, band) = (&s.cmd, &self.start.bands[s.cmd.band]);
         assert!(s.answered.is_none() && !s.out(), "rule 1: sent after its answer, or twice at once");
@@ -294,7 +320,7 @@
             let b = self.start.budget.as_ref().unwrap();
             let recent = |at: &Ms| *at > now - b.window;
             let made = self.further.iter().filter(|at| recent(at)).count() as f64;
-            let taken = self.seen.iter().filter(|s| recent(&s.at)).count() as f64;
+            let taken: f64 = self.seen.iter().filter(|s| recent(&s.at)).map(|s| s.cmd.counts).sum();
             assert!(made <= b.free + b.share * taken, "rule 6: {made} further hand-offs, {taken} taken");
         } else if self.start.plans[cmd.plan].limit_rate > 0.0 {
             let p = &self.start.plans[cmd.plan];
@@ -305,7 +331,7 @@
             self.stores.insert(cmd.volume, (level, now));
         }
         self.sent.push((now, node, self.seen[id].cmd.units));
-        self.seen[id].hand_offs.push(HandOff { node, at: now, time_out, ended: None });
+        self.seen[id].hand_offs.push(HandOff { node, at: now, time_out, ended: None, first });
     }
 
     /// Rule 4: what went to a cold node within the window stays under a credit of two largest commands and
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use magpiewick::*;
+use std::collections::BTreeMap;
 
 fn in_volume(volume: usize) -> Command {
     Command { volume, time_limit: 3000.0, ..command() }
@@ -394,3 +395,71 @@
     let other = w.take(in_volume(2));
     assert_eq!(sends(&w, other), 1, "the node rests though nothing ails it");
 }
+
+/// Ends each of these with proof that nothing ran.
+fn turn_away(w: &mut World, ids: &[usize]) {
+    ids.iter().for_each(|id| w.outcome(*id, Outcome::Moot));
+}
+
+#[test]
+fn what_leaves_together_takes_one_place_until_its_last_part_ends() {
+    let mut w = full(start());
+    let held: Vec<usize> = (0..40).map(|_| w.take(in_volume(1))).collect();
+    w.together = true;
+    turn_away(&mut w, &[0]);
+    let left = |w: &World| held.iter().copied().filter(|&id| sends(w, id) > 0).collect::<Vec<_>>();
+    let first = left(&w);
+    assert!(first.len() > 3, "a frame holds several of them: {}", first.len());
+    assert!(first.len() < 30, "no more than a frame holds leave together: {}", first.len());
+    turn_away(&mut w, &[1]);
+    let second = left(&w);
+    assert!(second.len() > first.len(), "all of the first take one place");
+    turn_away(&mut w, &second[1..first.len()]);
+    assert_eq!(left(&w), second, "a place is not free while a part is out");
+    turn_away(&mut w, &second[..1]);
+    assert!(left(&w).len() > second.len(), "the place is free");
+}
+
+#[test]
+fn a_batch_is_judged_by_what_all_of_it_weighs() {
+    let mut w = World::new(start());
+    // Nodes whose work takes as long as their units say; windows are read off what is out.
+    let turn = |w: &mut World, together: bool| {
+        w.together = together;
+        (0..60).for_each(|n| _ = w.take(in_volume(1 + n % 3)));
+        let mut batches: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for id in (0..w.seen.len()).filter(|id| w.seen[*id].out()) {
+            batches.entry(w.seen[id].hand_offs.last().unwrap().first).or_default().push(id);
+        }
+        let mut parts: Vec<(usize, usize)> =
+            batches.values().flat_map(|b| b.iter().map(|id| (b.len(), *id))).collect();
+        parts.sort_unstable();
+        let began = w.now;
+        for (weight, id) in &parts {
+            w.now = began + 2.0 + *weight as f64;
+            w.outcome(*id, Outcome::Settled);
+        }
+        w.pass(100.0);
+        batches.len()
+    };
+    (0..30).for_each(|_| _ = turn(&mut w, false));
+    (0..30).for_each(|_| _ = turn(&mut w, true));
+    let after = turn(&mut w, false);
+    assert!(after > 4, "the window is {after} after batches");
+}
+
+#[test]
+fn a_companion_is_held_to_its_key_its_limit_and_its_node() {
+    let mut w = full(start());
+    w.together = true;
+    let line = Command { band: 1, key: Some(3), ..in_volume(1) };
+    let ordered = [w.take(line.clone()), w.take(line)];
+    let limited: Vec<usize> = (0..60).map(|_| w.take(Command { plan: 1, ..in_volume(3) })).collect();
+    let elsewhere = w.take(Command { shard: Some(1), ..in_volume(1) });
+    let away = sends(&w, elsewhere);
+    turn_away(&mut w, &[0]);
+    // The model of the rules sees that none breaks its key's order or its volume's limit.
+    assert!(sends(&w, ordered[1]) == 0 || !w.seen[ordered[0]].out());
+    assert!(limited.iter().filter(|id| sends(&w, **id) > 0).count() < 60);
+    assert_eq!(sends(&w, elsewhere), away, "its node is another");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -20,6 +20,8 @@
                 shard: (b < 230).then_some(y / 8 % 2),
                 hosts: 2.0,
                 time_limit: [60.0, 400.0, 1200.0][x / 7 % 3],
+                counts: f64::from(a % 5 > 0),
+                with: None,
             };
             w.take(cmd);
         }
@@ -49,6 +51,7 @@
 fn the_module_and_the_model_agree_on_what_is_allowed() {
     fn kept(steps: Vec<(u8, u8, u8)>) -> bool {
         let mut w = World::new(start());
+        w.together = steps.len().is_multiple_of(2);
         for s in steps {
             step(&mut w, s);
         }
