--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,11 +5,11 @@
 mod sheet;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use magpiewick_drill::{bench, drill, load, relay, Drilled, Planted, Rule, Said};
+use magpiewick_drill::{bench, bench_reads, drill, load, relay, Drilled, Planted, Rule, Said, Sheet};
 use magpiewick_gateway::{Gateway, HostEnd};
 use magpiewick_link::Clock;
 use magpiewick_standin::{play, Handle};
-use sheet::Sheet;
+
 use std::hash::{BuildHasher, Hasher};
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -105,6 +105,9 @@
         /// Commands a second for the latencies; half of what the host can do otherwise
         #[arg(long)]
         rate: Option<f64>,
+        /// Measure large reads to their last byte instead, cut and whole
+        #[arg(long)]
+        reads: bool,
     },
     /// Show, move, follow or abandon extents at a map service
     Extents {
@@ -244,17 +247,33 @@
     }
 }
 
+fn show(f: [f64; 3], d: usize) -> String {
+    format!("{:.d$} ({:.d$}-{:.d$})", f[0], f[1], f[2])
+}
+
 /// What needs no settings file.
 fn measure(task: &Task) -> io::Result<u8> {
     match task {
-        Task::Bench { nodes, rate } => {
+        Task::Bench { nodes, reads: true, .. } => {
+            for m in bench_reads(&std::env::current_exe()?, nodes)? {
+                let (how, slow) =
+                    (if m.cut { "cut" } else { "whole" }, if m.slow { "one slow" } else { "all well" });
+                println!(
+                    "{:>3} nodes, {how:5}, {slow}: p50 {}, p99 {}",
+                    m.nodes,
+                    show(m.p50_ms, 1),
+                    show(m.p99_ms, 1)
+                );
+            }
+            Ok(0)
+        }
+        Task::Bench { nodes, rate, .. } => {
             let all = bench(&std::env::current_exe()?, nodes, *rate)?;
             println!(
                 "{:9} {:>5} {:>24} {:>9} {:>22} {:>22} {:>22} {:>18}",
                 "way", "nodes", "most a second", "at", "p50 ms", "p99 ms", "p99.9 ms", "cpu us a command"
             );
             for m in all {
-                let show = |f: [f64; 3], d: usize| format!("{:.d$} ({:.d$}-{:.d$})", f[0], f[1], f[2]);
                 println!(
                     "{:9} {:>5} {:>24} {:>9.0} {:>22} {:>22} {:>22} {:>18}",
                     m.way,
--- a/crates/cli/tests/drills.rs
+++ b/crates/cli/tests/drills.rs
@@ -60,6 +60,36 @@
     }
 }
 
+#[test]
+fn news_applied_half_is_found() {
+    let (code, found) = drill("extent-moves.hcl", &["--plant", "half"]);
+    let findings = found["findings"].as_array().unwrap();
+    assert!(code == Some(1) && findings.iter().all(|f| f["rule"] == "data"), "{found:#}");
+}
+
+#[test]
+fn merged_writes_and_cut_reads_keep_every_rule_and_need_fewer_commands() {
+    for seed in ["1", "2", "3"] {
+        let found = kept("merge-split.hcl", seed);
+        let host = |n: usize| &found["by_host"][n];
+        let count = |n: usize, name: &str| host(n)[name].as_f64().unwrap();
+        // The aim is a third; which part is held, and so may travel together, is the machine's speed too.
+        assert!(count(0, "node_commands") < 0.5 * count(0, "sent"), "{found:#}");
+        assert!(count(1, "node_commands") >= count(1, "sent"), "host 1 sends alone: {found:#}");
+        assert!(count(0, "payoff") > count(1, "payoff"), "{found:#}");
+    }
+}
+
+#[test]
+fn what_a_batch_or_a_cut_read_does_wrong_is_found() {
+    for (plant, rule) in [("batch", "twice"), ("swapped", "data"), ("again", "lost")] {
+        let (code, found) = drill("merge-split.hcl", &["--plant", plant]);
+        let findings = found["findings"].as_array().unwrap();
+        let named = code == Some(1) && !findings.is_empty() && findings.iter().all(|f| f["rule"] == rule);
+        assert!(named, "{plant}: {found:#}");
+    }
+}
+
 #[test]
 fn data_that_moves_under_load_is_neither_lost_nor_served_by_two() {
     for seed in ["1", "2", "3"] {
--- a/crates/drill/src/bench.rs
+++ b/crates/drill/src/bench.rs
@@ -4,11 +4,11 @@
 use crate::clients::Session;
 use crate::hosts::{HostProcess, Program};
 use crate::run::{offer, LoadReport};
-use crate::sheet::{read, DrillSheet};
-use magpiewick_gateway::sheet::{host, HostSheet};
+use crate::sheet::{read_all, DrillSheet, Sheet};
+use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_link::Clock;
 use magpiewick_settings::read_text;
-use magpiewick_standin::{read_fleet, FleetSheet, Handle};
+use magpiewick_standin::{FleetSheet, Handle};
 use serde::Serialize;
 use std::io;
 use std::net::SocketAddr;
@@ -83,18 +83,89 @@
     let mut all = Vec::new();
     for &count in counts {
         let text = text(count);
-        let sheets = read_text("bench", &text, |root| {
-            let host = host(root, 1);
-            let drill = host.as_ref().and_then(|h| read(root, h));
-            host.zip(drill).zip(read_fleet(root))
-        });
-        let sheets = sheets.map_err(|faults| io::Error::other(faults.to_string()))?;
-        let Some(((host, drill), fleet)) = sheets else { return Err(io::Error::other("no bench")) };
-        let file = std::env::temp_dir().join(format!("magpiewick-bench-{}.hcl", std::process::id()));
-        std::fs::write(&file, &text)?;
-        let measured = at(program, &file, (host, drill, fleet), rate, &mut all);
-        std::fs::remove_file(&file)?;
-        measured?;
+        with_file(&text, |file, sheets| at(program, file, sheets, rate, &mut all))?;
+    }
+    Ok(all)
+}
+
+type Sheets = (HostSheet, DrillSheet, FleetSheet);
+
+/// Reads a text as a settings file, and has it in a file while it is used.
+fn with_file<T>(text: &str, with: impl FnOnce(&Path, Sheets) -> io::Result<T>) -> io::Result<T> {
+    let sheets = read_text("bench", text, |root| {
+        let Sheet { host, fleet, drill } = read_all(root, 1)?;
+        Some(((host, drill?), fleet?))
+    });
+    let sheets = sheets.map_err(|faults| io::Error::other(faults.to_string()))?;
+    let Some(((host, drill), fleet)) = sheets else { return Err(io::Error::other("no bench")) };
+    let file = std::env::temp_dir().join(format!("magpiewick-bench-{}.hcl", std::process::id()));
+    std::fs::write(&file, text)?;
+    let done = with(&file, (host, drill, fleet));
+    std::fs::remove_file(&file)?;
+    done
+}
+
+/// How long reads of many blocks take to their last byte.
+#[derive(Serialize)]
+pub struct ReadMeasured {
+    pub nodes: usize,
+    /// Whether reads are cut, in a volume of many extents; else the volume is one extent on one node.
+    pub cut: bool,
+    /// Whether one node, the one that holds the whole volume where it is one extent, does a fourth of its work.
+    pub slow: bool,
+    pub p50_ms: [f64; 3],
+    pub p99_ms: [f64; 3],
+}
+
+const BLOCKS: u64 = 64;
+
+fn reads_text(nodes: usize, cut: bool) -> String {
+    let shards: Vec<String> = (0..nodes).map(|n| n.to_string()).collect();
+    // Extents of four blocks, so that a read touches as many nodes as there are.
+    let (extents, piece) = if cut { (256, BLOCKS) } else { (1, 1 << 20) };
+    let mut text = format!(
+        "host {{\n  most_units = {BLOCKS}\n}}\nlog {{\n  level = \"error\"\n}}\nlist {{\n  map = true\n}}\n\
+         split {{\n  blocks = {piece}\n  at_once = 16\n}}\n\
+         band \"read\" {{\n  soft_limit = \"2s\"\n  time_limit = \"4s\"\n  repeats = \"retriable\"\n}}\n\
+         plan \"all\" {{\n  rate = 100000\n}}\n\
+         volume \"v\" {{\n  id = 1\n  plan = \"all\"\n  shards = [{}]\n}}\n\
+         drill {{\n  time = \"2s\"\n}}\n\
+         traffic {{\n  rate = 10\n  clients = 1\n  keys = 1023\n  \
+         mix \"read\" {{\n    share = 1\n    blocks = {BLOCKS}\n    units = {BLOCKS}\n  }}\n}}\n\
+         standin {{\n  unit_work = \"0.5ms\"\n  cores = 2\n  extents = {extents}\n  keys = 1024\n",
+        shards.join(", ")
+    );
+    (0..nodes).for_each(|n| text += &format!("  node \"{n}\" {{\n    shard = {n}\n  }}\n"));
+    text + "}\n"
+}
+
+/// Measures large reads at these numbers of nodes: one client that always has one in hand.
+pub fn bench_reads(program: &Path, counts: &[usize]) -> io::Result<Vec<ReadMeasured>> {
+    let mut all = Vec::new();
+    for &nodes in counts {
+        for cut in [false, true] {
+            with_file(&reads_text(nodes, cut), |file, (host, drill, fleet)| {
+                let handle = Handle::start(fleet, Clock::start(), None)?;
+                handle.order(|fleet| fleet.forget_records());
+                let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
+                let through =
+                    HostProcess::start(&Program { program, file, list, seed: 1, alone: Vec::new() }, 0)?;
+                for slow in [false, true] {
+                    let times = if slow { 4.0 } else { 1.0 };
+                    _ = handle.ask(move |fleet| fleet.ail(0, |node| node.slow = times));
+                    let once = |seed| {
+                        let session = Session::open(Clock::start(), TIME, seed);
+                        let session = Session { in_flight: Some(1), ..session };
+                        offer(&host, &drill, through.address, &session)
+                    };
+                    let reports = (0..REPEATS).map(once).collect::<io::Result<Vec<_>>>()?;
+                    let of = |figure: fn(&LoadReport) -> f64| spread(reports.iter().map(figure).collect());
+                    let (p50_ms, p99_ms) = (of(|r| r.p50_ms), of(|r| r.p99_ms));
+                    all.push(ReadMeasured { nodes, cut, slow, p50_ms, p99_ms });
+                }
+                Ok(())
+            })?;
+        }
     }
     Ok(all)
 }
@@ -102,7 +173,7 @@
 fn at(
     program: &Path,
     file: &Path,
-    (host, drill, fleet): (HostSheet, DrillSheet, FleetSheet),
+    (host, drill, fleet): Sheets,
     rate: Option<f64>,
     all: &mut Vec<Measured>,
 ) -> io::Result<()> {
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -11,9 +11,9 @@
 mod sheet;
 
 pub use audit::{audit, Evidence, Finding, Rule, Verdict};
-pub use bench::{bench, Measured};
+pub use bench::{bench, bench_reads, Measured};
 pub use clients::{Clients, Host, Said, Session, Tally, Try};
 pub use plant::{plant, Planted};
 pub use relay::relay;
 pub use run::{drill, load, Drilled, LoadReport};
-pub use sheet::{read as read_sheet, DrillSheet, Mix, Traffic};
+pub use sheet::{read_all, DrillSheet, Mix, Sheet, Traffic};
--- a/crates/drill/src/sheet.rs
+++ b/crates/drill/src/sheet.rs
@@ -1,8 +1,8 @@
 //! What a drill or a load is told.
 
-use magpiewick_gateway::sheet::HostSheet;
+use magpiewick_gateway::sheet::{host, HostSheet, Volume};
 use magpiewick_settings::Part;
-use magpiewick_standin::{read_troubles, Trouble};
+use magpiewick_standin::{read_fleet, read_troubles, FleetSheet, Trouble};
 
 type Ms = f64;
 
@@ -95,3 +95,23 @@
         mixes,
     }
 }
+
+/// All that a settings file may hold.
+pub struct Sheet {
+    pub host: HostSheet,
+    pub fleet: Option<FleetSheet>,
+    pub drill: Option<DrillSheet>,
+}
+
+/// Reads a whole file; none where it has no host, which is a fault of the file.
+pub fn read_all(root: &Part, seed: u64) -> Option<Sheet> {
+    let host = host(root, seed);
+    let mut fleet = read_fleet(root);
+    if let (Some(fleet), Some(host)) = (&mut fleet, &host) {
+        let shards = |v: &Volume| v.shards.iter().map(|s| *s as u32).collect();
+        fleet.volumes = host.volumes.iter().map(|(id, v)| (*id, shards(v))).collect();
+    }
+    // Without a host nothing can be said of a drill; its blocks are known all the same.
+    let drill = host.as_ref().and_then(|host| read(root, host));
+    Some(Sheet { host: host?, fleet, drill })
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -172,6 +172,12 @@
         node
     }
 
+    /// Ends the host with commands in hand.
+    fn end_at_once(mut self) {
+        self.stop.write_all(&[1, 1]).unwrap();
+        self.host.join().unwrap();
+    }
+
     fn end(mut self) -> HostEnd {
         self.stop.write_all(&[1]).unwrap();
         self.host.join().unwrap()
@@ -393,3 +399,139 @@
     assert_eq!(client.answer().map(|a| a.1), Some(Verdict::Settled));
     rig.end();
 }
+
+impl End {
+    fn batch(&mut self) -> Option<Vec<(u64, u16)>> {
+        self.hear(|m| match m {
+            Message::Batch(parts) => Some(parts.iter().map(|h| (h.command, h.hand_off)).collect()),
+            _ => None,
+        })
+    }
+
+    /// Asks for a range of blocks, to read or to write.
+    fn range(&mut self, command: u64, band: u16, key: u64, blocks: u32, payload: &[u8]) {
+        let (volume, mark, units, limit_us, write) = (1, command, 1.0, 4_000_000, !payload.is_empty());
+        let take = Take { command, band, write, volume, key, mark, units, limit_us, blocks, payload };
+        self.say(&Message::Take(take));
+    }
+
+    fn piece(&mut self) -> Option<(u64, u16, u64, u32)> {
+        self.hear(|m| match m {
+            Message::HandOff(h) => Some((h.command, h.hand_off, h.key, h.blocks)),
+            _ => None,
+        })
+    }
+}
+
+/// A host whose node has its window full of writes of a band, so that the four after them leave together once the
+/// first is settled.
+fn four_together(rig: &Rig, band: u16) -> (End, End, Vec<(u64, u16)>, Vec<(u64, u16)>) {
+    let mut client = rig.client();
+    (1..=4).for_each(|n| client.take(n, band, b"bytes"));
+    let mut node = rig.greeted();
+    let out: Vec<_> = (0..4).map(|_| node.hand_off().unwrap()).collect();
+    (5..=8).for_each(|n| client.take(n, band, b"bytes"));
+    // A read behind them shows that they were taken: it cannot leave either, as its place comes after theirs.
+    client.take(9, 0, &[]);
+    client.range(10, 0, 0, 7, &[]);
+    assert_eq!(client.answer(), Some((10, Verdict::Bounced, "impossible-range".to_string())));
+    node.settle(out[0], b"");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, String::new())));
+    let batch = node.batch().unwrap();
+    assert_eq!(batch.len(), 4);
+    (client, node, out, batch)
+}
+
+#[test]
+fn each_part_of_a_batch_ends_by_itself_and_only_what_is_allowed_is_sent_again() {
+    let rig = Rig::start(LONG_AGO);
+    let (mut client, mut node, out, batch) = four_together(&rig, 1);
+    node.settle(batch[0], b"");
+    node.say(&outcome(batch[1].0, batch[1].1, Code::Error, &[]));
+    node.say(&outcome(batch[2].0, batch[2].1, Code::Full, &[]));
+    // The fourth gets no answer, and a second answer to the first changes nothing.
+    node.say(&outcome(batch[0].0, batch[0].1, Code::Error, &[]));
+    assert_eq!(client.answer(), Some((5, Verdict::Settled, String::new())));
+    assert_eq!(client.answer(), Some((6, Verdict::Scrapped, "error".to_string())));
+    // What was turned away has not run, and is sent again once there is a place for it, as is the read behind it.
+    out[1..].iter().for_each(|out| node.settle(*out, b""));
+    let again = [node.hand_off().unwrap(), node.hand_off().unwrap()];
+    assert!(again.contains(&(batch[2].0, 1)), "{again:?} holds what was turned away");
+    drop(node);
+    let rest: Vec<_> = (0..5).map(|_| client.answer().unwrap()).collect();
+    let scrapped = |n: u64| (n, Verdict::Scrapped);
+    let found: Vec<_> = rest.iter().map(|(n, verdict, _)| (*n, *verdict)).filter(|f| f.0 != 9).collect();
+    assert!(
+        found.contains(&scrapped(8)),
+        "a binding part whose fate is unknown is not sent again: {found:?}"
+    );
+    assert_eq!(rig.end(), HostEnd::Stopped);
+}
+
+#[test]
+fn a_client_that_gives_up_takes_only_its_own_part_out_of_a_batch() {
+    let rig = Rig::start(LONG_AGO);
+    let (mut client, mut node, _out, batch) = four_together(&rig, 0);
+    client.say(&Message::GiveUp { command: 6 });
+    let cancelled = node.hear(|m| match m {
+        Message::Cancel { command, hand_off } => Some((*command, *hand_off)),
+        _ => None,
+    });
+    assert_eq!(cancelled, Some(batch[1]));
+    batch.iter().for_each(|part| node.settle(*part, b""));
+    let mut answered: Vec<u64> = (0..3).map(|_| client.answer().unwrap().0).collect();
+    answered.sort_unstable();
+    assert_eq!(answered, [5, 7, 8]);
+    rig.end();
+}
+
+#[test]
+fn a_write_waits_for_an_earlier_one_that_it_overlaps() {
+    let rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.range(1, 1, 10, 4, b"aaaabbbb");
+    client.range(2, 0, 13, 2, b"ccccdddd");
+    client.range(3, 0, 20, 1, b"eeee");
+    let mut node = rig.greeted();
+    let first = node.piece().unwrap();
+    let third = node.piece().unwrap();
+    assert_eq!((first.2, third.2), (10, 20), "the second is held back, and nobody else");
+    node.settle((first.0, first.1), b"");
+    assert_eq!(node.piece().map(|p| (p.2, p.3)), Some((13, 2)));
+    rig.end_at_once();
+}
+
+#[test]
+fn a_read_over_extents_is_one_answer_whatever_becomes_of_its_pieces() {
+    let mut rig = Rig::start(LONG_AGO);
+    let line = |start, at| MapLine { kind: Mapped::Extent, volume: 1, start, at, shard: 0, version: 1 };
+    let lines = vec![line(0, 20), line(20, 40)];
+    rig.list.say(&Message::Map(MapNews { whole: true, epoch: 1, part: 0, last: true, lines }));
+    let mut client = rig.client();
+    // Half of a write cannot be taken back.
+    client.range(99, 1, 18, 4, b"aaaabbbbccccdddd");
+    assert_eq!(client.answer(), Some((99, Verdict::Bounced, "crosses-extents".to_string())));
+    client.range(1, 0, 18, 4, &[]);
+    let mut node = rig.greeted();
+    let pieces = [node.piece().unwrap(), node.piece().unwrap()];
+    assert_eq!(pieces.map(|p| (p.2, p.3)), [(18, 2), (20, 2)]);
+    // The later piece comes first, and the first one fails once: it is fetched again.
+    node.settle((pieces[1].0, pieces[1].1), b"CD");
+    node.say(&outcome(pieces[0].0, pieces[0].1, Code::Error, &[]));
+    let again = node.piece().unwrap();
+    assert_eq!((again.0, again.1), (pieces[0].0, 1));
+    node.settle((again.0, again.1), b"AB");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, "ABCD".to_string())));
+    // Who gives up a read gives up its pieces.
+    client.range(2, 0, 18, 4, &[]);
+    let pieces = [node.piece().unwrap(), node.piece().unwrap()];
+    client.say(&Message::GiveUp { command: 2 });
+    let cancel = |m: &Message| match m {
+        Message::Cancel { command, .. } => Some(*command),
+        _ => None,
+    };
+    let mut cancelled = [node.hear(cancel).unwrap(), node.hear(cancel).unwrap()];
+    cancelled.sort_unstable();
+    assert_eq!(cancelled, pieces.map(|p| p.0));
+    rig.end_at_once();
+}
--- a/drills/merge-split.hcl
+++ b/drills/merge-split.hcl
@@ -59,6 +59,13 @@
   repeats    = "retriable"
 }
 
+band "scatter" {
+  soft_limit = "1s"
+  time_limit = "2s"
+  payoff     = 1
+  repeats    = "retriable"
+}
+
 band "write" {
   soft_limit = "250ms"
   time_limit = "1s"
@@ -121,7 +128,7 @@
   queue         = 400
   list_late     = "40ms"
   block         = 64
-  fingerprinted = [2, 4]
+  fingerprinted = [3, 5]
   group         = "zone"
   memory        = "1.5s"
   extents       = 64
@@ -178,6 +185,11 @@
     units  = 4
     blocks = 128
   }
+  mix "scatter" {
+    share  = 0.001
+    units  = 4
+    blocks = 2000
+  }
   mix "write" {
     share   = 0.6
     units   = 1
