Look only at what changed in each decision, so that its cost does not follow what is held

Need: each call of wait walked nodes, lines and all that is held, so that a host that fell behind was dearest just then: 255 us a command with 4,000 held, and a look at a node's shard walked all nodes.

Change: the same decisions over lists kept up to date: shards to nodes, nodes with a free place, lines ordered by tag, commands outside that sleep until a time or until what holds them back changes, and the first of each shard to be late.

--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -471,7 +471,7 @@
     /// Notes a write that is not out as one that may travel with others.
     pub fn hold(&mut self, command: u64) {
         let open = self.opens.get(slot_of(command)).filter(|o| o.id == command);
-        let held = |o: &&Open| o.write && o.key != 0 && !o.answered && o.out.is_empty();
+        let held = |o: &&Open| o.write && o.key != 0 && !o.answered && o.out.is_empty() && o.gated.is_none();
         if let Some(o) = open.filter(held) {
             let (start, end) = (o.key, o.key + u64::from(o.blocks.max(1)));
             let (bytes, units) = (o.payload.len(), f64::from(o.units));
@@ -492,6 +492,7 @@
         if let Some(open) = self.open(command) {
             open.gated = Some(taken);
         }
+        self.company.let_go(command);
         self.timers.set(until, Timer::GateLate { command });
         None
     }
@@ -502,6 +503,7 @@
         let open = self.open(command).filter(|o| !o.answered)?;
         let mut taken = open.gated.take()?;
         taken.command.time_limit = open.ends - now;
+        self.hold(command);
         Some(taken)
     }
 
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -423,9 +423,12 @@
     }
 }
 
+/// A command's id and hand-off.
+type Out = (u64, u16);
+
 /// A host whose node has its window full of writes of a band, so that the four after them leave together once the
 /// first is settled.
-fn four_together(rig: &Rig, band: u16) -> (End, End, Vec<(u64, u16)>, Vec<(u64, u16)>) {
+fn four_together(rig: &Rig, band: u16) -> (End, End, Vec<Out>, Vec<Out>) {
     let mut client = rig.client();
     (1..=4).for_each(|n| client.take(n, band, b"bytes"));
     let mut node = rig.greeted();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,9 +3,10 @@
 //! `given_up` are notes that return nothing. The types of the interface are in `terms.rs`, the mechanism
 //! and its departures in `docs/design.md`.
 
+use crate::queues::{rank, Agenda, Failures, Keys, Outside, Ring, Store, Waiting};
 use crate::terms::*;
 use nanorand::{Rng, WyRand};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The window of hand-offs out at one node: the design's floor and start, and its ceiling.
 const FLOOR: f64 = 4.0;
@@ -43,47 +44,8 @@
 const RECENT: f64 = 0.95;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
-
-/// Sums over fixed buckets of time, used again in a ring.
-#[derive(Default)]
-struct Ring {
-    slot: Ms,
-    at: i64,
-    sums: Vec<(f64, f64)>,
-}
-
-impl Ring {
-    fn new(slot: Ms, slots: usize) -> Ring {
-        Ring { slot, at: i64::MIN / 2, sums: vec![(0.0, 0.0); slots + 1] }
-    }
-
-    fn turn(&mut self, now: Ms) -> usize {
-        let at = (now / self.slot).floor() as i64;
-        let n = self.sums.len() as i64;
-        for past in (self.at + 1).max(at - n + 1)..=at {
-            self.sums[past.rem_euclid(n) as usize] = (0.0, 0.0);
-        }
-        self.at = self.at.max(at);
-        self.at.rem_euclid(n) as usize
-    }
-
-    fn add(&mut self, now: Ms, value: f64) {
-        let i = self.turn(now);
-        self.sums[i].0 += value;
-        self.sums[i].1 += 1.0;
-    }
-
-    /// What came within the ring's whole time: never less than that, or never more.
-    fn sum(&mut self, now: Ms, at_least: bool) -> f64 {
-        let oldest = (self.turn(now) + 1) % self.sums.len();
-        self.sums.iter().enumerate().filter(|(i, _)| at_least || *i != oldest).map(|(_, s)| s.0).sum()
-    }
-
-    fn lowest_mean(&mut self, now: Ms) -> Option<f64> {
-        self.turn(now);
-        self.sums.iter().filter(|s| s.1 >= 3.0).map(|s| s.0 / s.1).min_by(f64::total_cmp)
-    }
-}
+/// By how much sooner than its time something is looked at, so that rounding makes nothing late.
+const SOONER: Ms = 1e-6;
 
 /// Where a held command stands: outside the lines (its key, limit or node forbids it for now), in the line of
 /// a node, out at one, or over while its last hand-off is still out.
@@ -122,6 +84,8 @@
     may_have_run: Option<(u32, Ms, usize)>,
     not_before: Ms,
     drew_limit: bool,
+    /// Counts those that joined a line.
+    joined: u64,
 }
 
 struct Flow {
@@ -147,7 +111,8 @@
 #[derive(Default)]
 struct Node {
     entry: Entry,
-    line: Vec<usize>,
+    /// By finish tag and turn.
+    line: BTreeSet<(i64, u64, usize)>,
     flows: BTreeMap<(usize, bool), Flow>,
     potential: f64,
     frame: i64,
@@ -185,11 +150,15 @@
 
     /// A place for a command that is spared rests, as its volume's reserve covers it, or for another.
     fn has_place(&self, now: Ms, spared: bool) -> bool {
-        let open = self.entry.condition == Condition::Ready && now >= self.rests_until;
+        let open = now >= self.rests_until;
         let latency = self.latency.unwrap_or(0.0);
         let spared = self.window >= 1.0 || spared && latency <= self.soft_limit;
         let rested = spared || now >= self.sent + latency / self.window;
-        open && rested && self.places() < self.window.max(1.0) && !self.silent(now)
+        open && rested && self.has_room() && !self.silent(now)
+    }
+
+    fn has_room(&self) -> bool {
+        self.entry.condition == Condition::Ready && self.places() < self.window.max(1.0)
     }
 
     /// The places of the window that are taken: one for all that left together, until the last of them ends.
@@ -206,8 +175,12 @@
         }
     }
 
+    fn patience(&self, out: &Out) -> Ms {
+        out.patience.max(PATIENCE_TIMES * self.latency.unwrap_or(0.0))
+    }
+
     fn overdue(&self, now: Ms, out: &Out, since: Ms) -> bool {
-        now - since > out.patience.max(PATIENCE_TIMES * self.latency.unwrap_or(0.0))
+        now - since > self.patience(out)
     }
 
     fn silent(&self, now: Ms) -> bool {
@@ -218,20 +191,6 @@
 /// Volume, key, band and units: what a client's later try shares with the first.
 type Again = (usize, usize, usize, u64);
 
-struct Store {
-    units: f64,
-    filled: Ms,
-    /// Taken by commands that wait in line; the store does not fill in their place until they are sent.
-    drawn: f64,
-}
-
-impl Store {
-    fn fill(&mut self, now: Ms, a_second: f64, most: f64) {
-        self.units = (self.units + (now - self.filled) * a_second / 1000.0).min(most);
-        self.filled = now;
-    }
-}
-
 /// What a volume's service pays: its reserve in full, its share by weight at the share's part.
 fn weight(s: &Start, band: usize, plan: usize, reserved: bool) -> f64 {
     let rates: f64 = s.plans.iter().map(|p| p.rate).sum();
@@ -249,15 +208,24 @@
     turns: u64,
     batches: u64,
     held: Vec<Option<Held>>,
-    outside: BTreeMap<u64, usize>,
+    outside: Outside,
+    /// Commands that are not out.
+    waiting: Waiting,
     nodes: Vec<Option<Node>>,
-    keys: BTreeMap<usize, (VecDeque<usize>, Ms)>,
+    /// The nodes of each shard; those with a free place in their window; those of them with a line.
+    shards: BTreeMap<usize, Vec<usize>>,
+    roomy: BTreeSet<usize>,
+    able: BTreeSet<usize>,
+    /// When the first hand-off at a node may be overdue; how many are out in all.
+    checks: Agenda<usize>,
+    outs: usize,
+    keys: Keys,
     stores: BTreeMap<usize, Store>,
     dues: BTreeMap<usize, Store>,
     /// By band and plan: the longest time limit met, how many commands had it lately and how many any.
     limits: Vec<(Ms, f64, f64)>,
-    /// Commands that failed lately: when, which, and when they were first tried.
-    tries: VecDeque<(Ms, Again, Ms)>,
+    /// Commands that failed lately.
+    tries: Failures<Again>,
     /// By shard: what its node settled for this host a millisecond, when it was last seen warm.
     usual: BTreeMap<usize, f64>,
     taken: Ring,
@@ -282,13 +250,19 @@
             turns: 0,
             batches: 0,
             held: Vec::new(),
-            outside: BTreeMap::new(),
+            outside: Outside::default(),
+            waiting: Waiting::default(),
             nodes: Vec::new(),
-            keys: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            roomy: BTreeSet::new(),
+            able: BTreeSet::new(),
+            checks: Agenda::default(),
+            outs: 0,
+            keys: Keys::default(),
             stores: BTreeMap::new(),
             dues: BTreeMap::new(),
             limits: vec![(0.0, 0.0, 0.0); bands * plans.max(1)],
-            tries: VecDeque::new(),
+            tries: Failures::default(),
             usual: BTreeMap::new(),
             taken: Ring::new(window, PARTS),
             further: Ring::new(window, PARTS),
@@ -313,7 +287,7 @@
             self.take(now, id, cmd);
         }
         self.line_up(now, id);
-        match self.held[id].as_ref().map(|h| (h.stage, self.hopeless(now, h))) {
+        match self.held[id].as_ref().map(|h| (h.stage, self.hopeless(now, id))) {
             Some((Stage::Lined(node), _)) if self.next_of(now, node) == Some(id) => {
                 self.send(now, id, node, false)
             }
@@ -332,8 +306,9 @@
         if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
             due.units = (due.units - answer.others).max(0.0);
         }
-        let again = Brain::again(&h.cmd).filter(|_| outcome == Outcome::Settled);
-        self.tries.retain(|t| Some(t.1) != again);
+        if let Some(again) = Brain::again(&h.cmd).filter(|_| outcome == Outcome::Settled) {
+            self.tries.settled(again);
+        }
         if outcome.never_ran() && h.may_have_run.is_some_and(|(number, ..)| number == h.hand_offs) {
             h.may_have_run = None;
         }
@@ -341,9 +316,8 @@
         let Some(Some(h)) = self.held.get_mut(id) else { return Next::Nothing };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             let key = h.cmd.key.filter(|_| self.start.bands[h.cmd.band].in_order);
-            if let Some((_, rest)) = key.and_then(|key| self.keys.get_mut(&key)) {
-                *rest = now + self.start.order_rest + self.start.round;
-            }
+            let until = now + self.start.order_rest + self.start.round;
+            key.into_iter().for_each(|key| self.keys.rest(key, until));
         }
         if ended {
             self.forget(now, id);
@@ -351,10 +325,11 @@
         }
         h.stage = Stage::Outside;
         h.not_before = if outcome.never_ran() { now + FIRST_REST } else { now };
-        self.outside.insert(h.turn, id);
+        self.waits(id, true);
+        self.wake(id);
         let may = self.held[id].as_ref().is_some_and(|h| {
             let fits = self.repeats_fit(now, h, h.may_have_run.map_or(node, |m| m.2));
-            fits && h.hand_offs < self.start.max_hand_offs && !self.hopeless(now, h)
+            fits && h.hand_offs < self.start.max_hand_offs && !self.hopeless(now, id)
         });
         if may && self.budget_has_room(now) {
             return Next::Hold;
@@ -372,25 +347,39 @@
             self.ask_at = self.start.ask_within.map(|within| now + 0.4 * within);
             return Due::Watch;
         }
-        for id in self.outside.values().copied().collect::<Vec<_>>() {
+        self.outside.wake_due(now + SOONER);
+        while let Some((_, id)) = self.outside.look.pop_first() {
             self.line_up(now, id);
         }
-        for node in 0..self.nodes.len() {
+        let mut from = 0;
+        let next = |b: &Brain, from| {
+            if b.outside.open.is_empty() { &b.able } else { &b.roomy }.range(from..).next().copied()
+        };
+        while let Some(node) = next(self, from) {
             self.draw_open(now, node);
             if let Some(id) = self.next_of(now, node) {
                 return Due::Ask(id);
             }
+            from = node + 1;
         }
-        let mut until = self.ask_at.unwrap_or(now + 1000.0);
-        if self.nodes.iter().flatten().any(|n| !n.out.is_empty()) {
-            until = until.min(now + 4.0 * NAP);
+        let late: Vec<Option<usize>> = self.waiting.late.due(now + SOONER).collect();
+        for shard in late {
+            while let Some(id) = self.waiting.first(shard).filter(|id| self.hopeless(now, *id)) {
+                self.waits(id, false);
+                self.doom(id);
+            }
         }
-        let lined = self.nodes.iter().flatten().flat_map(|n| n.line.iter());
-        for &id in self.outside.values().chain(lined) {
-            let Some(h) = &self.held[id] else { continue };
-            if self.hopeless(now, h) {
+        while let Some(id) = self.waiting.first_doomed() {
+            if self.hopeless(now, id) {
                 return Due::Ask(id);
             }
+            self.waits(id, true);
+        }
+        let mut until = self.ask_at.unwrap_or(now + 1000.0);
+        if self.outs > 0 {
+            until = until.min(now + 4.0 * NAP);
+        }
+        if !self.waiting.late.is_empty() {
             until = until.min(now + NAP);
         }
         Due::Until(until)
@@ -400,18 +389,66 @@
     /// guards the places of a window against answers that get lost and nodes that take work and answer
     /// nothing, whatever the cause; it could harm where single commands take many times the usual work.
     fn next_cancel(&mut self, now: Ms) -> Option<Due> {
-        for n in self.nodes.iter_mut().flatten().filter(|_| self.start.may_cancel) {
+        let due = self.checks.due(now + SOONER);
+        let mut overdue: Vec<usize> = due.filter(|_| self.start.may_cancel).collect();
+        overdue.sort_unstable();
+        for node in overdue {
+            let Some(n) = &mut self.nodes[node] else { continue };
             let silent = n.silent(now);
             let lost = |n: &Node, o: &Out| n.overdue(now, o, o.at) && (silent || o.passed >= PASSED);
             let due = n.out.iter().position(|o| !o.cancelled && lost(n, o));
             if let Some(o) = due.map(|i| &mut n.out[i]) {
                 o.cancelled = true;
-                return Some(Due::Cancel { command: o.id, hand_off: o.hand_off });
+                let (command, hand_off) = (o.id, o.hand_off);
+                self.touch(node);
+                return Some(Due::Cancel { command, hand_off });
             }
         }
         None
     }
 
+    /// Brings what is known of a node's places and of its overdue hand-offs up to date.
+    fn touch(&mut self, node: usize) {
+        let n = self.nodes[node].as_ref();
+        let room = n.is_some_and(Node::has_room);
+        let able = room && n.is_some_and(|n| !n.line.is_empty());
+        for (set, is) in [(&mut self.roomy, room), (&mut self.able, able)] {
+            _ = if is { set.insert(node) } else { set.remove(&node) };
+        }
+        let open =
+            n.into_iter().flat_map(|n| n.out.iter().filter(|o| !o.cancelled).map(|o| o.at + n.patience(o)));
+        self.checks.set(node, open.min_by(f64::total_cmp));
+    }
+
+    /// Has a command that waits outside looked at anew.
+    fn wake(&mut self, id: usize) {
+        let Some(h) = self.held[id].as_ref().filter(|h| h.stage == Stage::Outside) else { return };
+        self.outside.wake(h.turn, id, h.cmd.shard.is_none());
+    }
+
+    /// Has all that wait outside for a shard looked at anew.
+    fn wake_shard(&mut self, shard: usize) {
+        self.waiting.of(shard).into_iter().for_each(|id| self.wake(id));
+    }
+
+    fn waits(&mut self, id: usize, waits: bool) {
+        let Some(h) = &self.held[id] else { return };
+        self.waiting.set(h.cmd.shard, h.late_at, id, waits);
+        self.set_late(h.cmd.shard);
+    }
+
+    /// Notes a command, which waits no longer, as hopeless, at the place where it stands.
+    fn doom(&mut self, id: usize) {
+        let Some(h) = &self.held[id] else { return };
+        let lined = if let Stage::Lined(node) = h.stage { Some((node + 1, h.joined)) } else { None };
+        self.waiting.doom(id, lined.unwrap_or((0, h.turn)));
+    }
+
+    fn set_late(&mut self, shard: Option<usize>) {
+        let first = self.waiting.first(shard).and_then(|id| self.held[id].as_ref());
+        self.waiting.late.set(shard, first.map(|h| h.late_at - self.latency(h)));
+    }
+
     /// The list of nodes, or what changed in it.
     pub fn listed(&mut self, now: Ms, news: News, entries: &[Entry]) {
         if news == News::Failed {
@@ -426,7 +463,8 @@
             // A watch that broke unnoticed would leave the host with an old list.
             self.ask_at = self.start.ask_within.map(|within| now + 0.8 * within);
         }
-        let gone = |n: &Node| news != News::Changes && !entries.iter().any(|e| e.node == n.entry.node);
+        let named: BTreeSet<usize> = entries.iter().map(|e| e.node).collect();
+        let gone = |n: &Node| news != News::Changes && !named.contains(&n.entry.node);
         for node in self.nodes.iter_mut().flatten().filter(|n| gone(n)) {
             node.entry.condition = Condition::Gone;
         }
@@ -459,10 +497,19 @@
         }
         // Commands lined at a node that drains or went wait for the node that takes its shard.
         let unusable = self.nodes.iter().flatten().filter(|n| n.entry.condition != Condition::Ready);
-        let moved: Vec<usize> = unusable.flat_map(|n| n.line.clone()).collect();
+        let moved: Vec<usize> = unusable.flat_map(|n| n.line.iter().map(|l| l.2)).collect();
         moved.into_iter().for_each(|id| self.unline(id));
         let over = |n: &mut Node| n.entry.condition == Condition::Gone && n.out.is_empty();
         self.nodes.iter_mut().for_each(|n| _ = n.take_if(over));
+        self.shards.clear();
+        for n in self.nodes.iter().flatten() {
+            self.shards.entry(n.entry.shard).or_default().push(n.entry.node);
+        }
+        (0..self.nodes.len()).for_each(|node| self.touch(node));
+        for shard in self.waiting.shards() {
+            self.set_late(shard);
+            shard.into_iter().for_each(|shard| self.wake_shard(shard));
+        }
     }
 
     /// The client has gone: nothing is owed any more.
@@ -474,19 +521,27 @@
                 h.stage = Stage::Over(node);
                 let out = self.nodes[node].iter_mut().flat_map(|n| &mut n.out);
                 out.filter(|o| o.id == id).for_each(|o| (o.at, o.passed) = (f64::NEG_INFINITY, PASSED));
+                self.touch(node);
             }
             Stage::Over(_) => {}
             _ => _ = self.end(now, id),
         }
     }
 
-    /// The data of a held command lies on another shard now: what waits follows it before it is sent, with its
-    /// tag given back where it stood; what is out ends where it is. Guards against hand-offs spent on nodes that
-    /// do not hold the data, whoever moved it; it could harm where news of moves is wrong: a hand-off each.
+    /// The data of a held command lies on another shard now: what waits follows it before it is sent, its tag
+    /// given back; what is out ends where it is. Guards against hand-offs spent on nodes that do not hold the
+    /// data, whoever moved it; it could harm where news of moves is wrong: a hand-off each.
     pub fn moved(&mut self, now: Ms, id: usize, shard: usize) {
-        let Some(Some(h)) = self.held.get_mut(id) else { return };
-        (h.cmd.shard, h.not_before) = (Some(shard), now.min(h.not_before));
+        let Some(Some(h)) = self.held.get(id) else { return };
+        let out = matches!(h.stage, Stage::Out(_) | Stage::Over(_));
         self.unline(id);
+        self.sleep(id);
+        self.waits(id, false);
+        if let Some(Some(h)) = self.held.get_mut(id) {
+            (h.cmd.shard, h.not_before) = (Some(shard), now.min(h.not_before));
+        }
+        self.waits(id, !out);
+        self.wake(id);
     }
 
     fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
@@ -504,14 +559,13 @@
         *usual = *usual * RECENT + f64::from(cmd.time_limit > *longest - 1.0);
         let spent = if *usual >= USUAL * *all { *longest - cmd.time_limit } else { 0.0 };
         let again = Some(cmd).filter(|c| c.time_limit < band.time_limit - 1.0).and_then(Brain::again);
-        let tried = again.and_then(|a| self.tries.iter().rev().find(|t| t.1 == a));
-        let first = tried.map_or(now, |t| t.2).min(now - spent);
+        let tried = again.and_then(|a| self.tries.first_of(a));
+        let first = tried.unwrap_or(now).min(now - spent);
         let ends = now + cmd.time_limit - 2.0 * self.start.round;
         let late_at = ends.min(first + band.soft_limit);
         if let Some(key) = self.in_order(cmd) {
-            self.keys.entry(key).or_insert_with(|| (VecDeque::new(), now)).0.push_back(id);
+            self.keys.join(now, key, id);
         }
-        self.outside.insert(self.turns, id);
         self.held[id] = Some(Held {
             cmd: cmd.clone(),
             turn: self.turns,
@@ -524,7 +578,10 @@
             may_have_run: None,
             not_before: now,
             drew_limit: false,
+            joined: 0,
         });
+        self.waits(id, true);
+        self.wake(id);
     }
 
     fn again(cmd: &Command) -> Option<Again> {
@@ -538,59 +595,70 @@
     fn failed(&mut self, now: Ms, id: usize) {
         let Some(Some(h)) = self.held.get(id) else { return };
         let longest = self.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
-        while self.tries.front().is_some_and(|t| now > t.0 + longest) {
-            self.tries.pop_front();
-        }
-        self.tries.extend(Brain::again(&h.cmd).map(|again| (now, again, h.first)));
+        self.tries.forget(now - longest);
+        Brain::again(&h.cmd).into_iter().for_each(|again| self.tries.note(now, again, h.first));
     }
 
     /// Whether a held command is to be given its final answer now: it cannot be answered within its soft
     /// limit any more.
-    fn hopeless(&self, now: Ms, h: &Held) -> bool {
+    fn hopeless(&self, now: Ms, id: usize) -> bool {
+        self.held[id].as_ref().is_some_and(|h| now + self.latency(h) >= h.late_at)
+    }
+
+    /// The latency of the node that a command would go to; 0 where that is not known.
+    fn latency(&self, h: &Held) -> Ms {
         let node = h.cmd.shard.and_then(|shard| self.holder(shard));
-        let latency = node.and_then(|n| self.nodes[n].as_ref()).and_then(|n| n.latency).unwrap_or(0.0);
-        now + latency >= h.late_at
+        node.and_then(|n| self.nodes[n].as_ref()).and_then(|n| n.latency).unwrap_or(0.0)
     }
 
     /// The node to which commands of a shard go: of those that are ready one that does not fail, and of these
     /// the one started first, as its successor is still cold.
     fn holder(&self, shard: usize) -> Option<usize> {
-        let ready = |n: &&Node| n.entry.shard == shard && n.entry.condition == Condition::Ready;
-        let holders = self.nodes.iter().flatten().filter(ready);
+        let nodes = self.shards.get(&shard).into_iter().flatten().filter_map(|n| self.nodes[*n].as_ref());
+        let holders = nodes.filter(|n| n.entry.condition == Condition::Ready);
         let first = holders.min_by_key(|n| (n.rest > FIRST_REST, n.entry.started.map(|at| at as i64)));
         first.map(|n| n.entry.node)
     }
 
-    /// Puts a command that waits outside into its node's line, once its key and its limit let it.
+    /// Puts a command that waits outside into its node's line, or to sleep until key and limit may let it.
     fn line_up(&mut self, now: Ms, id: usize) {
         let Some(h) = self.held[id].as_ref().filter(|h| h.stage == Stage::Outside) else { return };
-        let Some(node) = h.cmd.shard.and_then(|shard| self.holder(shard)) else { return };
-        if self.free(now, id, node) && self.draw_limit(now, id) {
-            self.join(now, id, node);
+        let Some(shard) = h.cmd.shard else { return };
+        let turn = h.turn;
+        let Some(node) = self.holder(shard) else { return self.outside.sleep(turn, id, None) };
+        let mut free_at = self.free_at(now, id, node);
+        if free_at.is_some_and(|at| at <= now) {
+            free_at = self.draw_limit(now, id);
+            if free_at.is_some_and(|at| at <= now) {
+                return self.join(now, id, node);
+            }
         }
+        self.outside.sleep(turn, id, free_at);
     }
 
     /// Lets a node with a free place take the oldest command that names no node into its line, one at a time.
     fn draw_open(&mut self, now: Ms, node: usize) {
-        let Some(n) = &self.nodes[node] else { return };
-        let names_none = |id: &usize| self.held[*id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
-        if !n.has_place(now, false) || n.line.iter().any(names_none) {
+        let Some(n) = self.nodes[node].as_ref().filter(|_| !self.outside.open.is_empty()) else { return };
+        let names_none = |id: usize| self.held[id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
+        if !n.has_place(now, false) || n.line.iter().any(|l| names_none(l.2)) {
             return;
         }
-        let mut open = self.outside.values().copied();
-        if let Some(id) = open.find(|id| names_none(id) && self.free(now, *id, node)) {
-            if self.draw_limit(now, id) {
+        let mut open = self.outside.open.values().copied();
+        let free = |id: &usize| self.free_at(now, *id, node).is_some_and(|at| at <= now);
+        if let Some(id) = open.find(free) {
+            if self.draw_limit(now, id).is_some_and(|at| at <= now) {
                 self.join(now, id, node);
             }
         }
     }
 
-    fn free(&self, now: Ms, id: usize, node: usize) -> bool {
-        let Some(h) = &self.held[id] else { return false };
-        let key = self.in_order(&h.cmd).and_then(|key| self.keys.get(&key));
-        let turn =
-            key.is_none_or(|(line, rest)| line.front() == Some(&id) && (h.hand_offs > 0 || now >= *rest));
-        turn && now >= h.not_before && self.repeats_fit(now, h, node)
+    /// From when on a command may join a node's line, as far as time alone forbids it; none where more does.
+    fn free_at(&self, now: Ms, id: usize, node: usize) -> Option<Ms> {
+        let h = self.held[id].as_ref()?;
+        let key = self.in_order(&h.cmd).and_then(|key| self.keys.first(key));
+        let rest = key.filter(|_| h.hand_offs == 0).map_or(h.not_before, |(_, rest)| rest.max(h.not_before));
+        let turn = key.is_none_or(|(first, _)| first == id);
+        (turn && self.repeats_fit(now, h, node)).then_some(rest)
     }
 
     fn repeats_fit(&self, now: Ms, h: &Held, node: usize) -> bool {
@@ -607,20 +675,26 @@
         }
     }
 
-    /// Takes a command's units from this host's part of its volume's store. The store starts empty: a host
-    /// that has just started may have spent it before.
-    fn draw_limit(&mut self, now: Ms, id: usize) -> bool {
-        let Some(Some(h)) = self.held.get_mut(id) else { return false };
+    /// Takes a command's units from this host's part of its volume's store, or tells when that holds them.
+    /// The store starts empty: a host that has just started may have spent it before.
+    fn draw_limit(&mut self, now: Ms, id: usize) -> Option<Ms> {
+        let h = self.held[id].as_mut()?;
         let plan = &self.start.plans[h.cmd.plan];
         if plan.limit_rate <= 0.0 || h.drew_limit {
-            return true;
+            return Some(now);
         }
         let store =
             self.stores.entry(h.cmd.volume).or_insert(Store { units: 0.0, filled: self.born, drawn: 0.0 });
-        store.fill(now, plan.limit_rate / h.cmd.hosts, plan.limit_store / h.cmd.hosts);
+        let rate = plan.limit_rate / h.cmd.hosts;
+        store.fill(now, rate, plan.limit_store / h.cmd.hosts);
         h.drew_limit = store.units - store.drawn >= h.cmd.units;
-        store.drawn += f64::from(h.drew_limit) * h.cmd.units;
-        h.drew_limit
+        if h.drew_limit {
+            store.drawn += h.cmd.units;
+            return Some(now);
+        }
+        self.outside.found_short(h.cmd.volume, id);
+        let short = h.cmd.units - (store.units - store.drawn);
+        Some(now + (short / rate * 1000.0).max(SOONER))
     }
 
     /// Whether the volume's reserve still covers a command, as far as this host knows; takes it if so.
@@ -658,11 +732,22 @@
         if let Some(frame) = tag.marked() {
             *n.counters.entry(frame).or_insert(0) += 1;
         }
-        n.line.push(id);
-        self.outside.remove(&turn);
+        n.line.insert((rank(tag.finish), turn, id));
+        self.sleep(id);
         if let Some(Some(h)) = self.held.get_mut(id) {
-            (h.stage, h.tag) = (Stage::Lined(node), tag);
+            self.turns += 1;
+            (h.stage, h.tag, h.joined) = (Stage::Lined(node), tag, self.turns);
+            if self.waiting.is_doomed(id) {
+                self.doom(id);
+            }
         }
+        self.touch(node);
+    }
+
+    /// Takes a command out of all in which those outside are looked at.
+    fn sleep(&mut self, id: usize) {
+        let Some(h) = &self.held[id] else { return };
+        self.outside.leave(h.turn, id, h.cmd.volume);
     }
 
     /// Takes an unsent command out of its line: its frame's counter falls as a send would lower it, and the
@@ -671,22 +756,25 @@
         let Some(Some(h)) = self.held.get_mut(id) else { return };
         let Stage::Lined(node) = h.stage else { return };
         h.stage = Stage::Outside;
-        self.outside.insert(h.turn, id);
+        let mut awake = vec![id];
         if let Some(store) = self.stores.get_mut(&h.cmd.volume).filter(|_| h.drew_limit && h.hand_offs == 0) {
             h.drew_limit = false;
             store.drawn -= h.cmd.units;
+            awake.extend(self.outside.short(h.cmd.volume));
         }
         if let Some(due) = self.dues.get_mut(&h.cmd.volume).filter(|_| h.tag.reserved) {
             due.units += h.cmd.units;
         }
         let Some(n) = &mut self.nodes[node] else { return };
-        n.line.retain(|&other| other != id);
+        n.line.remove(&(rank(h.tag.finish), h.turn, id));
         n.unmark(&h.tag);
         if let Some(flow) = n.flows.get_mut(&(h.cmd.volume, h.tag.reserved)) {
             (flow.last_finish, flow.lined) =
                 (flow.last_finish - (h.tag.finish - h.tag.start), flow.lined - 1);
         }
         n.reset_if_idle();
+        self.touch(node);
+        awake.into_iter().for_each(|id| self.wake(id));
     }
 
     /// The command that leaves next at a node, if its window has room: the smallest finish tag among those
@@ -697,16 +785,18 @@
         let places = self.nodes[node].as_ref().and_then(places).filter(|p| p[1])?;
         let (bears, further) = (self.bears(now, node), self.budget_has_room(now));
         let most = self.start.bands.iter().map(|b| b.payoff).fold(0.0, f64::max);
-        let ranks = self.nodes[node].iter().flat_map(|n| &n.line).filter_map(|&id| {
-            let h = self.held[id].as_ref()?;
-            let fits = bears && (further || h.hand_offs == 0);
+        if !bears {
+            return None;
+        }
+        let leaves = |id: usize| {
+            let Some(h) = &self.held[id] else { return false };
             // Guards against long commands that may wait long and pay little for the places they hold.
             let spared = h.tag.reserved && 2.0 * self.start.bands[h.cmd.band].payoff >= most;
-            let may = places[usize::from(spared)] && fits && now < h.late_at;
-            (may && self.repeats_fit(now, h, node)).then_some((h.tag.finish, h.turn, id))
-        });
-        let first = ranks.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        first.map(|rank| rank.2)
+            let may = places[usize::from(spared)] && (further || h.hand_offs == 0) && now < h.late_at;
+            may && self.repeats_fit(now, h, node)
+        };
+        let line = self.nodes[node].iter().flat_map(|n| &n.line);
+        line.map(|l| l.2).find(|id| leaves(*id))
     }
 
     /// Whether a node may be sent a command, cold as it is. The units come from a credit, which grows as the
@@ -724,8 +814,8 @@
         let ramp = s.cold_share + (1.0 - s.cold_share) * ((age - s.fall_time) / s.cold_time).clamp(0.0, 1.0);
         let stated = s.cold_units / s.hosts / s.cold_share / s.fall_time;
         // A host that has just started knows the shards of warm nodes; their mean stands in for the others.
-        let mean = self.usual.values().sum::<f64>() / self.usual.len().max(1) as f64;
-        let usual = s.fall_multiple * self.usual.get(&n.entry.shard).unwrap_or(&mean);
+        let mean = || self.usual.values().sum::<f64>() / self.usual.len().max(1) as f64;
+        let usual = s.fall_multiple * self.usual.get(&n.entry.shard).copied().unwrap_or_else(mean);
         let grown = ramp * usual.max(stated) * (now - n.credited);
         (n.credit, n.credited) = ((n.credit + grown).min(2.0 * s.most_units), now);
         n.credit >= s.most_units
@@ -737,10 +827,11 @@
     }
 
     fn send(&mut self, now: Ms, id: usize, node: usize, rides: bool) -> Where {
+        self.waits(id, false);
         let (Some(Some(h)), Some(n)) = (self.held.get_mut(id), &mut self.nodes[node]) else {
             return Where::NotYet;
         };
-        n.line.retain(|&other| other != id);
+        n.line.remove(&(rank(h.tag.finish), h.turn, id));
         if let Some(flow) = n.flows.get_mut(&(h.cmd.volume, h.tag.reserved)) {
             (flow.lined, flow.seen) = (flow.lined - 1, now);
         }
@@ -769,13 +860,15 @@
         h.hand_offs += 1;
         h.stage = Stage::Out(node);
         h.may_have_run.get_or_insert((h.hand_offs, now, node));
-        Where::To { node, time_out: h.ends - now }
+        let time_out = h.ends - now;
+        self.outs += 1;
+        self.touch(node);
+        Where::To { node, time_out }
     }
 
-    /// Lets a lined command leave with the one that has just been sent, where nothing would forbid it to be next
-    /// but the order of tags, and its tag starts less than a frame after that one's. Guards the mechanism's
-    /// bounds, whatever travels together; it could harm those of other volumes that would leave before it: they
-    /// wait for what the batch adds, and its volume's next tags are later for it.
+    /// Lets a lined command leave with one that was just sent, where only the order of tags forbids it to be
+    /// next and its tag starts less than a frame after that one's. Guards the mechanism's bounds, whatever
+    /// travels together; it could harm other volumes, which wait for what the batch adds.
     fn ride(&mut self, now: Ms, id: usize, first: usize) -> Where {
         let held = |id: usize| self.held.get(id).and_then(|h| h.as_ref());
         let (Some(h), Some((Stage::Out(node), tag))) = (held(id), held(first).map(|h| (h.stage, h.tag)))
@@ -804,7 +897,7 @@
         let crowded = n.places() >= n.window - 1.0;
         let silent = n.silent(now);
         let Some(place) = n.out.iter().position(|o| o.id == id) else { return };
-        let load = n.out.remove(place).load;
+        let (load, failing, shard) = (n.out.remove(place).load, n.rest > FIRST_REST, n.entry.shard);
         match answer.outcome {
             Outcome::Settled => {
                 n.served.add(now, units);
@@ -836,6 +929,13 @@
             n.answered = now;
         }
         n.reset_if_idle();
+        let turned = failing != (n.rest > FIRST_REST);
+        self.outs -= 1;
+        self.touch(node);
+        self.set_late(Some(shard));
+        if turned {
+            self.wake_shard(shard);
+        }
     }
 
     /// The final answer of a command that this host gives up: a bounce where that is known to be harmless.
@@ -858,11 +958,12 @@
     }
 
     fn forget(&mut self, now: Ms, id: usize) {
+        self.sleep(id);
+        self.waits(id, false);
         let Some(h) = self.held[id].take() else { return };
-        self.outside.remove(&h.turn);
-        if let Some((line, _)) = self.in_order(&h.cmd).and_then(|key| self.keys.get_mut(&key)) {
-            line.retain(|&other| other != id);
+        if let Some(key) = self.in_order(&h.cmd) {
+            let next = self.keys.leave(now, key, id);
+            next.into_iter().for_each(|next| self.wake(next));
         }
-        self.keys.retain(|_, (line, rest)| !line.is_empty() || now < *rest);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decision module of magpiewick and the plain types of its interface.
 
 mod brain;
+mod queues;
 mod terms;
 
 pub use brain::Brain;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -104,7 +104,7 @@
     pub time_limit: Ms,
     /// 1, or 0 for what is a further piece of a command that was cut: the budget counts the command once.
     pub counts: f64,
-    /// Asked with a command that has just been sent: it leaves with it, as one command of the node, or not now.
+    /// Asked with a command that has just been sent: it leaves with it, as one command of the node, or stays.
     pub with: Option<usize>,
 }
 
