--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -751,16 +751,22 @@
                 payload: &open.payload,
             })
         };
-        let parts: Vec<HandOff> = parts.filter_map(part).collect();
-        let commands: Vec<u64> = parts.iter().map(|p| p.command).collect();
-        match parts[..] {
-            [] => return,
-            [one] => connection.queue(&Message::HandOff(one), one.command),
-            _ => connection.queue_for(&Message::Batch(parts), commands.clone()),
-        }
-        for command in commands {
+        let mut parts = parts.filter_map(part);
+        let Some(first) = parts.next() else { return };
+        let leader = first.command;
+        let mut add = |command| {
             peer.out.push(command);
             peer.contact.sent();
+        };
+        add(leader);
+        match parts.next() {
+            None => connection.queue(&Message::HandOff(first), leader),
+            Some(second) => {
+                let parts: Vec<HandOff> = [first, second].into_iter().chain(parts).collect();
+                let others: Vec<u64> = parts[1..].iter().map(|p| p.command).collect();
+                others.iter().for_each(|command| add(*command));
+                connection.queue_for(&Message::Batch(parts), leader, others);
+            }
         }
         self.touched.push(key_of(Place::Node, index));
     }
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -29,7 +29,15 @@
 struct Frame {
     start: u64,
     end: u64,
-    marks: Vec<u64>,
+    mark: u64,
+    /// Further marks of a message that stands for several.
+    others: Vec<u64>,
+}
+
+impl Frame {
+    fn marks(&self) -> impl Iterator<Item = u64> + '_ {
+        std::iter::once(self.mark).chain(self.others.iter().copied())
+    }
 }
 
 pub struct Connection {
@@ -127,15 +135,16 @@
 
     /// Puts a message behind what is to be written. `mark` names it to [`Connection::never_left`].
     pub fn queue(&mut self, message: &Message, mark: u64) {
-        self.queue_for(message, if mark == NOTHING { Vec::new() } else { vec![mark] });
+        self.queue_for(message, mark, Vec::new());
     }
 
     /// Puts a message that stands for several marks behind what is to be written.
-    pub fn queue_for(&mut self, message: &Message, marks: Vec<u64>) {
+    pub fn queue_for(&mut self, message: &Message, mark: u64, others: Vec<u64>) {
         let start = self.before + self.output.len() as u64;
         write(message, &mut self.output);
-        if !marks.is_empty() {
-            self.frames.push_back(Frame { start, end: self.before + self.output.len() as u64, marks });
+        if mark != NOTHING {
+            let end = self.before + self.output.len() as u64;
+            self.frames.push_back(Frame { start, end, mark, others });
         }
     }
 
@@ -191,7 +200,7 @@
     /// Marks of the frames whose last byte the kernel has not taken: the peer cannot have read them whole, and
     /// a frame that is not whole fails its checksum.
     pub fn never_left(&self) -> Vec<u64> {
-        self.frames.iter().flat_map(|f| &f.marks).copied().collect()
+        self.frames.iter().flat_map(Frame::marks).collect()
     }
 
     /// Takes marked frames of which no byte was written out of the output; their marks come back. False where a
@@ -199,12 +208,12 @@
     pub fn pull_back(&mut self) -> (Vec<u64>, bool) {
         let taken = self.before + self.written as u64;
         let begun = self.frames.front().is_some_and(|f| f.start < taken);
-        let mut pulled: Vec<Frame> = self.frames.drain(usize::from(begun)..).collect();
+        let pulled: Vec<Frame> = self.frames.drain(usize::from(begun)..).collect();
         for frame in pulled.iter().rev() {
             let at = (frame.start - self.before) as usize..(frame.end - self.before) as usize;
             self.output.drain(at);
         }
-        (pulled.drain(..).flat_map(|f| f.marks).collect(), !begun)
+        (pulled.iter().flat_map(Frame::marks).collect(), !begun)
     }
 
     /// Ends the connection so that the peer sees a reset, not an orderly end.
