--- a/src/brain.rs
+++ b/src/brain.rs
@@ -326,7 +326,6 @@
         h.stage = Stage::Outside;
         h.not_before = if outcome.never_ran() { now + FIRST_REST } else { now };
         self.waits(id, true);
-        self.wake(id);
         let may = self.held[id].as_ref().is_some_and(|h| {
             let fits = self.repeats_fit(now, h, h.may_have_run.map_or(node, |m| m.2));
             fits && h.hand_offs < self.start.max_hand_offs && !self.hopeless(now, id)
@@ -432,9 +431,12 @@
     }
 
     fn waits(&mut self, id: usize, waits: bool) {
-        let Some(h) = &self.held[id] else { return };
-        self.waiting.set(h.cmd.shard, h.late_at, id, waits);
-        self.set_late(h.cmd.shard);
+        let Some((shard, late_at)) = self.held[id].as_ref().map(|h| (h.cmd.shard, h.late_at)) else { return };
+        self.waiting.set(shard, late_at, id, waits);
+        self.set_late(shard);
+        if waits {
+            self.wake(id);
+        }
     }
 
     /// Notes a command, which waits no longer, as hopeless, at the place where it stands.
@@ -541,7 +543,6 @@
             (h.cmd.shard, h.not_before) = (Some(shard), now.min(h.not_before));
         }
         self.waits(id, !out);
-        self.wake(id);
     }
 
     fn take(&mut self, now: Ms, id: usize, cmd: &Command) {
@@ -581,7 +582,6 @@
             joined: 0,
         });
         self.waits(id, true);
-        self.wake(id);
     }
 
     fn again(cmd: &Command) -> Option<Again> {
