Keep what is known of an extent under a higher version when a service tells an old map

Need: a map service that restarts from a copy that lags tells a whole map of an earlier epoch; hosts took it over and sent by versions that they knew to be old until each extent's node refused.

Change: an extent that is told under a lower version than it is known by keeps its owner beside the map, as a node's word does, until the map says as much. The drill of moves tells an old map to all and kills a host while the map service is down, so that it restarts with the list alone.

The test fails without the change.

--- a/crates/extents/src/follow.rs
+++ b/crates/extents/src/follow.rs
@@ -99,11 +99,29 @@
             return Ok(false);
         }
         let (epoch, _, lines) = self.coming.take().unwrap_or_default();
-        self.map = Map::whole(epoch, volumes(&lines)?);
+        let map = Map::whole(epoch, volumes(&lines)?);
+        self.keep_newer(&map);
+        self.map = map;
         self.told();
         Ok(true)
     }
 
+    /// A version is never given twice, so an extent of a lower one is old news, whoever tells it: what is known of a
+    /// higher one goes on to hold beside the map. Guards against a service that went back in time, by a restart or a
+    /// copy of its own that lags; it could harm where a service lost a move for good: nodes refuse then, and name the
+    /// owner under a version that is higher still.
+    fn keep_newer(&mut self, map: &Map) {
+        for (volume, e) in self.map.all() {
+            let older = map.find(volume, e.start).filter(|told| told.version < e.version);
+            if older.is_some_and(|told| (told.start, told.end) == (e.start, e.end)) {
+                let known = self.named.entry((volume, e.start)).or_insert((e.shard, e.version));
+                if known.1 < e.version {
+                    *known = (e.shard, e.version);
+                }
+            }
+        }
+    }
+
     pub fn changes(&mut self, changes: &Changes) -> Result<(), Fault> {
         self.map.apply(changes)?;
         self.told();
@@ -177,6 +195,22 @@
         assert_eq!(f.refused(302.0, (1, 12), 1, None), None, "the old owner's word about an old version");
     }
 
+    #[test]
+    fn a_whole_map_that_is_old_takes_nothing_back() {
+        let mut f = follower();
+        let old = [(1, 0, 10, 5, 1), (1, 10, 20, 6, 1)];
+        f.changes(&Changes { epoch: 2, changes: vec![SWITCHED] }).unwrap();
+        assert_eq!(f.part(1, 0, true, &old), Ok(true));
+        assert_eq!(f.place(0.0, 1, 15), Place::At { shard: 7, version: 2 });
+        assert_eq!(f.place(0.0, 1, 5), Place::At { shard: 5, version: 1 });
+        // Told twice, and then the truth, whatever its epoch.
+        assert_eq!(f.part(1, 0, true, &old), Ok(true));
+        assert_eq!(f.place(0.0, 1, 15), Place::At { shard: 7, version: 2 });
+        assert_eq!(f.part(1, 0, true, &[(1, 0, 10, 5, 1), (1, 10, 20, 8, 3)]), Ok(true));
+        assert_eq!(f.place(0.0, 1, 15), Place::At { shard: 8, version: 3 });
+        assert!(f.named.is_empty());
+    }
+
     #[test]
     fn parts_out_of_their_order_are_refused_whole() {
         let mut f = follower();
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -101,6 +101,7 @@
     batches: u64,
     memory: HashMap<(u64, u64), Ms>,
     pub map: Service,
+    kept_map: Option<(u64, Vec<MapLine>)>,
     records: Vec<(Ms, Seen)>,
     recording: bool,
     tamper: Option<Box<dyn Tamper>>,
@@ -176,6 +177,7 @@
             due_number: 0,
             batches: 0,
             memory: HashMap::new(),
+            kept_map: None,
             map: Service::new(&sheet.volumes, sheet.extents, sheet.keys, sheet.pace),
             records: Vec::new(),
             recording: true,
@@ -486,22 +488,34 @@
         }
     }
 
-    fn whole_map(&mut self, index: usize) {
+    fn whole_map(&self) -> (u64, Vec<MapLine>) {
         let line = |(volume, e): (u64, Extent)| {
             let (start, at, shard, version) = (e.start, e.end, e.shard, e.version);
             MapLine { kind: Mapped::Extent, volume, start, at, shard, version }
         };
-        let lines: Vec<MapLine> = self.map.map.all().map(line).collect();
-        let epoch = self.map.map.epoch();
+        (self.map.map.epoch(), self.map.map.all().map(line).collect())
+    }
+
+    fn tell_whole_map(&mut self, index: usize, (epoch, lines): &(u64, Vec<MapLine>)) {
         let parts = lines.chunks(MOST_MAP_LINES).count().max(1);
         for part in 0..parts {
             let lines = lines.chunks(MOST_MAP_LINES).nth(part).unwrap_or_default().to_vec();
-            let (part, last) = (part as u32, part + 1 == parts);
+            let (epoch, part, last) = (*epoch, part as u32, part + 1 == parts);
             let news = Message::Map(MapNews { whole: true, epoch, part, last, lines });
             self.peers[index].connection.queue(&news, NOTHING);
         }
     }
 
+    /// Keeps the map as it is now, or tells all hosts what was kept: a service that went back in time.
+    pub fn map_old(&mut self, keep: bool) {
+        if keep {
+            self.kept_map = Some(self.whole_map());
+        } else if let Some(kept) = self.kept_map.take().filter(|_| !self.list_down) {
+            let watching = self.peers.iter().filter(|(_, p)| p.watching_map).map(|(index, _)| index);
+            watching.collect::<Vec<_>>().into_iter().for_each(|index| self.tell_whole_map(index, &kept));
+        }
+    }
+
     // Sockets.
 
     fn readable(&mut self, key: usize) {
@@ -608,7 +622,8 @@
             }
             (Message::WatchMap, None) => {
                 self.peers[index].watching_map = true;
-                self.whole_map(index);
+                let whole = self.whole_map();
+                self.tell_whole_map(index, &whole);
             }
             (Message::Move { volume, start, shard, abandon }, None) => {
                 let state = self.asked_move(*volume, *start, *shard, *abandon);
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -31,9 +31,10 @@
     MoversDie,
     MapDown,
     Partly,
+    MapOld,
 }
 
-const KINDS: [(&str, Kind); 22] = [
+const KINDS: [(&str, Kind); 23] = [
     ("silent", Kind::Silent),
     ("answers-lost", Kind::AnswersLost),
     ("slow", Kind::Slow),
@@ -56,6 +57,7 @@
     ("movers-die", Kind::MoversDie),
     ("map-down", Kind::MapDown),
     ("partly", Kind::Partly),
+    ("map-old", Kind::MapOld),
 ];
 
 /// One trouble of a script.
@@ -96,6 +98,8 @@
     AbandonMove(u64, usize),
     MoversDead(bool),
     MapDown(bool),
+    /// Keeps the map as it is, or tells hosts what was kept.
+    MapOld(bool),
     /// These are not the fleet's: whoever plays the script does them.
     HostStall(u32, bool),
     HostKill(u32),
@@ -191,13 +195,14 @@
                 }
                 Kind::Move => steps.push((self.from, Step::Move(*whom, self.extent, self.shard))),
                 Kind::AbandonMove => steps.push((self.from, Step::AbandonMove(*whom, self.extent))),
-                Kind::ListDown | Kind::ListFlaps | Kind::MoversDie | Kind::MapDown => {}
+                Kind::ListDown | Kind::ListFlaps | Kind::MoversDie | Kind::MapDown | Kind::MapOld => {}
             }
         }
         match self.kind {
             Kind::ListDown => both(&mut steps, Step::ListDown(true), Step::ListDown(false)),
             Kind::MoversDie => both(&mut steps, Step::MoversDead(true), Step::MoversDead(false)),
             Kind::MapDown => both(&mut steps, Step::MapDown(true), Step::MapDown(false)),
+            Kind::MapOld => both(&mut steps, Step::MapOld(true), Step::MapOld(false)),
             Kind::ListFlaps => {
                 for turn in 0..4 {
                     let at = self.from + length * f64::from(turn) / 4.0;
@@ -251,6 +256,7 @@
             Step::AbandonMove(volume, extent) => fleet.abandon_move(volume, extent),
             Step::MoversDead(dead) => fleet.map.movers_dead = dead,
             Step::MapDown(down) => fleet.map.down = down,
+            Step::MapOld(keep) => fleet.map_old(keep),
             _ => return false,
         }
         true
--- a/drills/extent-moves.hcl
+++ b/drills/extent-moves.hcl
@@ -360,6 +360,15 @@
   from = "5.15s"
   to   = "5.6s"
 }
+trouble "host-kill" {
+  hosts = [0]
+  from  = "5.2s"
+  to    = "5.3s"
+}
+trouble "map-old" {
+  from = "4.2s"
+  to   = "8.3s"
+}
 trouble "list-down" {
   from = "6.1s"
   to   = "6.9s"
