End a write that waits for an overlapping one before its client's time is up

Need: a write at the gate was handed to the module to be ended at its time limit, where a later try has less left than the soft limit: its answer came when its client had gone.

Change: it is ended two rounds before its time limit, as the module does with what it holds.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -644,8 +644,10 @@
         let key = if take.key == 0 { 0 } else { key };
         let line = Some(key).filter(|_| self.sheet.start.bands[band].in_order);
         let taken = Taken { id, key, volume: take.volume, command };
-        // Past its soft limit nobody would send it, so that nothing is lost by ending it then.
-        let until = self.floor.now + self.sheet.start.bands[band].soft_limit.min(time_limit);
+        // Past its soft limit nobody would send it, so that nothing is lost by ending it then; its answer must be
+        // there before its client's time is up.
+        let longest = time_limit - 2.0 * self.sheet.start.round;
+        let until = self.floor.now + self.sheet.start.bands[band].soft_limit.min(longest);
         if let Some(taken) = self.floor.enter(taken, line, until) {
             self.desk.take(self.floor.now, taken, &mut self.floor);
             self.floor.release(id);
