Let what overlaps a write whose connection broke rest, as after a time-out

Need: the gate let a write go on at once when the earlier one that it overlaps had ended by a broken connection, though that one may still run at the node; docs/merge.md and the module's order of keys both say that it rests. Found on a last read of the change.

Change: a reset counts as an end without an answer for the gate; what it means for the contact with the node is as it was.

Result: the new socket test saw the overlapping write leave first before the change, and sees it rest now; the gateway's other tests pass.

--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -593,17 +593,18 @@
     }
 
     /// Takes a hand-off off the books; when it was sent, where it still stood there.
-    pub fn end_hand_off(&mut self, command: u64, hand_off: u32, answered: bool) -> Option<Ms> {
+    pub fn end_hand_off(&mut self, command: u64, hand_off: u32, outcome: Outcome) -> Option<Ms> {
+        let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
         let open = self.open(command)?;
         let place = open.out.iter().position(|o| o.hand_off == hand_off)?;
         let out = open.out.remove(place);
-        open.unsure |= !answered;
+        open.unsure |= unanswered || outcome == Outcome::Reset;
         if let Some(peer) = out.peer.map(|p| &mut self.peers[p]) {
             let waited = peer.waiting.len();
             peer.waiting.retain(|w| *w != (command, hand_off));
             if waited == peer.waiting.len() {
                 peer.out.retain(|id| *id != command);
-                peer.contact.done((!answered).then_some(out.sent));
+                peer.contact.done(unanswered.then_some(out.sent));
             }
         }
         Some(out.sent)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -228,8 +228,7 @@
         others: f64,
         payload: &[u8],
     ) {
-        let answered = !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
-        let Some(sent) = self.floor.end_hand_off(command, hand_off, answered) else { return };
+        let Some(sent) = self.floor.end_hand_off(command, hand_off, outcome) else { return };
         let over = outcome == Outcome::Settled;
         if over {
             self.floor.settled(command, payload);
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -14,6 +14,7 @@
 host {
   most_units = 4
   round = "5ms"
+  order_rest = "300ms"
   frame_within = "300ms"
   client_buffer = 65536
   most_clients = 1100
@@ -504,6 +505,23 @@
     rig.end_at_once();
 }
 
+#[test]
+fn a_write_whose_connection_broke_may_still_run_and_holds_back_who_overlaps_it() {
+    let rig = Rig::start(LONG_AGO);
+    let mut client = rig.client();
+    client.range(1, 1, 10, 4, b"aaaabbbb");
+    client.range(2, 0, 13, 2, b"ccccdddd");
+    let mut node = rig.greeted();
+    node.piece().unwrap();
+    drop(node);
+    assert_eq!(client.answer(), Some((1, Verdict::Scrapped, "reset".to_string())));
+    client.range(3, 0, 20, 1, b"eeee");
+    let mut node = rig.greeted();
+    let order = [node.piece().unwrap().2, node.piece().unwrap().2];
+    assert_eq!(order, [20, 13], "the overlapping one rests first");
+    rig.end_at_once();
+}
+
 #[test]
 fn a_read_over_extents_is_one_answer_whatever_becomes_of_its_pieces() {
     let mut rig = Rig::start(LONG_AGO);
