Read frames in one place, and say once what stood in several

Need: a last read of the change found the loop over a connection's frames in gateway, stand-ins, clients and relay, the greeting of this version in five places, the last step of answering a client and the range of a command twice each, the effects of writes block by block three times in the audit, the payoff reckoned once in all and once by host, two functions that nobody called, and a list made for each command that travels whole.

Change: Frames in crates/nodewire, Hello::of, one answer to a client, one range, one walk over effects, one sum of payoff; what travels whole makes no list. The relay now passes over a frame that may be skipped, where it stopped reading before. No bound, check or assertion changed.

--- a/crates/cli/src/extents.rs
+++ b/crates/cli/src/extents.rs
@@ -1,9 +1,7 @@
 //! `magpiewick extents`: asks a map service over the wire.
 
 use clap::Subcommand;
-use magpiewick_nodewire::{
-    read, write, Hello, MapLine, Mapped, Message, MoveStage, Read, Role, LONG_AGO, VERSION,
-};
+use magpiewick_nodewire::{read, write, Hello, MapLine, Mapped, Message, MoveStage, Read, Role, LONG_AGO};
 use std::io::{self, ErrorKind, Read as _, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -97,8 +95,7 @@
     let mut service =
         Service { stream: TcpStream::connect_timeout(&address, Duration::from_secs(5))?, bytes: Vec::new() };
     service.stream.set_read_timeout(Some(Duration::from_secs(10)))?;
-    let (lowest, highest, role) = (VERSION, VERSION, Role::Client);
-    service.say(&Message::Hello(Hello { lowest, highest, role, number: 0, life: 0, age_us: LONG_AGO }))?;
+    service.say(&Message::Hello(Hello::of(Role::Client, 0, 0, LONG_AGO)))?;
     match ask {
         Ask::Show { volume } => {
             service.say(&Message::WatchMap)?;
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -150,6 +150,19 @@
     }
 }
 
+/// The effects of writes, block by block: when, through which host, on which block of which volume, and the mark.
+fn written(seen: &[(Ms, Seen)]) -> impl Iterator<Item = (Ms, u64, (u64, u64), u64)> + '_ {
+    seen.iter().flat_map(|(at, seen)| {
+        let (host, volume, blocks, mark) = match *seen {
+            Seen::Ran { host, volume, key, mark, write: true, blocks, .. } => {
+                (host, volume, key..key + u64::from(blocks), mark)
+            }
+            _ => (0, 0, 0..0, 0),
+        };
+        blocks.map(move |block| (*at, host, (volume, block), mark))
+    })
+}
+
 struct Audit<'a> {
     e: &'a Evidence<'a>,
     tried: Vec<Tried>,
@@ -175,7 +188,6 @@
     a.old_versions();
     a.stale();
     a.by_host();
-    a.payoff();
     a.verdict.findings.sort_by(|x, y| x.at.total_cmp(&y.at));
     a.verdict
 }
@@ -571,12 +583,8 @@
     /// Each piece of data holds, where it lies now, what was written to it last, wherever that was.
     fn data(&mut self) {
         let mut last: BTreeMap<(u64, u64), (Ms, u64)> = BTreeMap::new();
-        for (at, seen) in self.e.seen {
-            if let Seen::Ran { volume, key, mark, write: true, blocks, .. } = *seen {
-                for block in key..key + u64::from(blocks) {
-                    last.insert((volume, block), (*at, mark));
-                }
-            }
+        for (at, _, block, mark) in written(self.e.seen) {
+            last.insert(block, (at, mark));
         }
         let ran: HashSet<u64> = self
             .e
@@ -610,12 +618,8 @@
     fn reads(&mut self) {
         let noise = self.e.drill.noise;
         let mut effects: HashMap<(u64, u64), Vec<(Ms, u64)>> = HashMap::new();
-        for (at, seen) in self.e.seen {
-            if let Seen::Ran { volume, key, mark, write: true, blocks, .. } = *seen {
-                for block in key..key + u64::from(blocks) {
-                    effects.entry((volume, block)).or_default().push((*at, mark));
-                }
-            }
+        for (at, _, block, mark) in written(self.e.seen) {
+            effects.entry(block).or_default().push((at, mark));
         }
         let by_number: HashMap<u64, usize> =
             self.tried.iter().enumerate().map(|(i, tried)| (tried.t.number, i)).collect();
@@ -648,21 +652,14 @@
         }
         let mut last: HashMap<(u64, u64, u64, usize), u64> = HashMap::new();
         let (mut found, mut checked) = (Vec::new(), 0);
-        for (at, seen) in self.e.seen {
-            let Seen::Ran { host, volume, key, mark, write: true, blocks, .. } = *seen else { continue };
+        for (at, host, (volume, block), mark) in written(self.e.seen) {
             let Some(&(sent, line)) = tries.get(&(host, mark)) else { continue };
-            for block in key..key + u64::from(blocks) {
-                let before = last.entry((host, volume, block, line)).or_insert(sent);
-                checked += usize::from(*before != sent);
-                if *before > sent {
-                    found.push((
-                        *at,
-                        mark,
-                        format!("block {block} of volume {volume}: a later write ran first"),
-                    ));
-                }
-                *before = sent.max(*before);
+            let before = last.entry((host, volume, block, line)).or_insert(sent);
+            checked += usize::from(*before != sent);
+            if *before > sent {
+                found.push((at, mark, format!("block {block} of volume {volume}: a later write ran first")));
             }
+            *before = sent.max(*before);
         }
         self.checked(Rule::Order, checked);
         for (at, mark, what) in found {
@@ -700,6 +697,7 @@
         }
     }
 
+    /// What each host did, and the payoff of all.
     fn by_host(&mut self) {
         let start = &self.e.host.start;
         let mut shares = vec![HostShare::default(); start.hosts as usize];
@@ -725,6 +723,8 @@
             shares[host].sent += u64::from(sent.insert((host, command)));
             shares[host].node_commands += u64::from(known.insert(batch));
         }
+        let reached = shares.iter().map(|share| share.payoff).sum();
+        (self.verdict.due, self.verdict.reached) = (due.iter().sum(), reached);
         for (host, share) in shares.iter_mut().enumerate() {
             let times = &mut long[host];
             times.sort_by(f64::total_cmp);
@@ -757,18 +757,4 @@
         let switched = self.e.seen.iter().filter(|(_, s)| matches!(s, Seen::Switched { .. }));
         self.verdict.switched = switched.count() as u64;
     }
-
-    fn payoff(&mut self) {
-        let start = &self.e.host.start;
-        for tried in &self.tried {
-            let band = &start.bands[usize::from(tried.t.band)];
-            if !tried.t.later {
-                self.verdict.due += band.payoff;
-            }
-            let settled = tried.answer.filter(|a| a.1 == Answer::Settled);
-            if settled.is_some_and(|(at, _)| at <= tried.t.first + band.soft_limit) {
-                self.verdict.reached += band.payoff;
-            }
-        }
-    }
 }
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_link::{Clock, Connection, Poll, Timers, Woken, NOTHING};
-use magpiewick_nodewire::{self as wire, Hello, Message, Read, Role, Take, Verdict, LONG_AGO, VERSION};
+use magpiewick_nodewire::{Frames, Hello, Message, Role, Take, Verdict, LONG_AGO};
 use nanorand::{Rng, WyRand};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -359,8 +359,7 @@
         let Some(address) = self.hosts[host].address else { return };
         for line in host * self.traffic.clients..(host + 1) * self.traffic.clients {
             let Ok(mut connection) = Connection::connect(&self.poll, address, line) else { continue };
-            let (lowest, highest, role) = (VERSION, VERSION, Role::Client);
-            let hello = Hello { lowest, highest, role, number: line as u32, life: 0, age_us: LONG_AGO };
+            let hello = Hello::of(Role::Client, line as u32, 0, LONG_AGO);
             connection.queue(&Message::Hello(hello), NOTHING);
             self.lines[line] = Some(Line { connection, life: None });
         }
@@ -492,31 +491,26 @@
     fn readable(&mut self, line: usize) {
         let Some(l) = &mut self.lines[line] else { return };
         let mut ended = l.connection.fill().is_err();
-        let (input, mut used) = (l.connection.take_input(), 0);
-        loop {
-            match wire::read(&input[used..]) {
-                Ok(Read::Partial) => break,
-                Ok(Read::Skip(n)) => used += n,
-                Ok(Read::Whole(message, n)) => {
-                    used += n;
-                    match message {
-                        Message::Hello(hello) => {
-                            if let Some(l) = &mut self.lines[line] {
-                                l.life = Some(hello.life);
-                            }
-                        }
-                        Message::Final(f) => {
-                            self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0, f.payload)
-                        }
-                        _ => ended = true,
+        let input = l.connection.take_input();
+        let mut frames = Frames::new(&input);
+        for message in frames.by_ref() {
+            match message {
+                Ok(Message::Hello(hello)) => {
+                    if let Some(l) = &mut self.lines[line] {
+                        l.life = Some(hello.life);
                     }
                 }
+                Ok(Message::Final(f)) => {
+                    self.answered(f.command, f.verdict, f64::from(f.back_us) / 1000.0, f.payload)
+                }
+                Ok(_) => ended = true,
                 Err(_) => {
                     ended = true;
                     break;
                 }
             }
         }
+        let used = frames.used();
         if let Some(l) = &mut self.lines[line] {
             l.connection.give_back(input, used);
         }
--- a/crates/drill/src/relay.rs
+++ b/crates/drill/src/relay.rs
@@ -2,9 +2,7 @@
 //! latency and processor time are measured against.
 
 use magpiewick_link::{listen, Connection, Poll, Woken, NOTHING};
-use magpiewick_nodewire::{
-    self as wire, Code, Final, HandOff, Hello, Message, Read, Role, Verdict, LONG_AGO, VERSION,
-};
+use magpiewick_nodewire::{Code, Final, Frames, HandOff, Hello, Message, Role, Verdict, LONG_AGO};
 use slab::Slab;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -54,9 +52,7 @@
         let entry = self.clients.vacant_entry();
         let key = CLIENTS + entry.key();
         let mut connection = Connection::accepted(&self.poll, stream, key)?;
-        let (lowest, highest, role) = (VERSION, VERSION, Role::Host);
-        let hello = Hello { lowest, highest, role, number: 0, life: 1, age_us: LONG_AGO };
-        connection.queue(&Message::Hello(hello), NOTHING);
+        connection.queue(&Message::Hello(Hello::of(Role::Host, 0, 1, LONG_AGO)), NOTHING);
         entry.insert(connection);
         Ok(())
     }
@@ -71,11 +67,12 @@
     fn readable(&mut self, key: usize) -> io::Result<()> {
         let Some(connection) = self.connection(key) else { return Ok(()) };
         let ended = connection.fill().is_err();
-        let (input, mut used) = (connection.take_input(), 0);
-        while let Ok(Read::Whole(message, n)) = wire::read(&input[used..]) {
-            used += n;
+        let input = connection.take_input();
+        let mut frames = Frames::new(&input);
+        while let Some(Ok(message)) = frames.next() {
             self.pass(key, &message);
         }
+        let used = frames.used();
         if let Some(connection) = self.connection(key) {
             connection.give_back(input, used);
         }
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -8,7 +8,7 @@
 use magpiewick_desk::{Part, Reason, Taken, World};
 use magpiewick_link::{Clock, Connection, Ended, Poll, Timers, NOTHING};
 use magpiewick_merge::{Company, Gate, Gather, Piece, Write};
-use magpiewick_nodewire::{Final, HandOff, Hello, Message, Role, State, Take, Verdict, LONG_AGO, VERSION};
+use magpiewick_nodewire::{Final, HandOff, Hello, Message, Role, State, Take, Verdict, LONG_AGO};
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
@@ -248,8 +248,7 @@
     }
 
     fn hello(&self) -> Message<'static> {
-        let (lowest, highest, role, number) = (VERSION, VERSION, Role::Host, self.number);
-        Message::Hello(Hello { lowest, highest, role, number, life: self.life, age_us: LONG_AGO })
+        Message::Hello(Hello::of(Role::Host, self.number, self.life, LONG_AGO))
     }
 
     /// Notes that a connection has something to write.
@@ -473,7 +472,7 @@
         let open = self.opens.get(slot_of(command)).filter(|o| o.id == command);
         let held = |o: &&Open| o.write && o.key != 0 && !o.answered && o.out.is_empty() && o.gated.is_none();
         if let Some(o) = open.filter(held) {
-            let (start, end) = (o.key, o.key + u64::from(o.blocks.max(1)));
+            let (start, end) = o.range();
             let (bytes, units) = (o.payload.len(), f64::from(o.units));
             let (volume, shard, band) = (o.volume, o.shard, o.band);
             self.company.hold(command, Piece { volume, shard, band, start, end, bytes, units });
@@ -485,7 +484,7 @@
     pub fn enter(&mut self, taken: Taken, line: Option<u64>, until: Ms) -> Option<Taken> {
         let command = taken.id;
         let Some(open) = self.open(command).filter(|o| o.write && o.key != 0) else { return Some(taken) };
-        let (volume, start, end) = (open.volume, open.key, open.key + u64::from(open.blocks.max(1)));
+        let (volume, (start, end)) = (open.volume, open.range());
         if self.gate.enter(command, Write { volume, start, end, line }) {
             return Some(taken);
         }
@@ -509,8 +508,13 @@
 
     /// Ends a read that was cut; its pieces that are out are left to the desk.
     pub fn end_whole(&mut self, whole: u64, verdict: Verdict, back: Ms, payload: &[u8]) {
-        let Some(Whole { client: (key, number), span, .. }) = self.wholes.remove(&whole) else { return };
+        let Some(Whole { client, span, .. }) = self.wholes.remove(&whole) else { return };
         span.in_scope(|| tracing::info!(target: "command", ?verdict, "a read in pieces is over"));
+        self.answer_client(client, verdict, back, payload);
+    }
+
+    /// Gives a client the final answer to its command of this number.
+    fn answer_client(&mut self, (key, number): (usize, u64), verdict: Verdict, back: Ms, payload: &[u8]) {
         let back_us = (back * 1000.0) as u32;
         if let Some(client) = self.clients.get_mut(index_of(key)) {
             client.commands.remove(&number);
@@ -556,12 +560,9 @@
             let payload = payload.to_vec();
             return self.pieces_ended.push_back(PieceEnded { whole, piece, verdict, back, payload });
         }
-        let Some((key, number)) = client else { return };
-        let back_us = (back * 1000.0) as u32;
-        if let Some(client) = self.clients.get_mut(index_of(key)) {
-            client.commands.remove(&number);
+        if let Some(client) = client {
+            self.answer_client(client, verdict, back, payload);
         }
-        self.tell_client(key, &Message::Final(Final { command: number, verdict, back_us, payload }));
     }
 
     /// Forgets a command that is answered and of which nothing is out.
@@ -894,6 +895,11 @@
 }
 
 impl Open {
+    /// The blocks that it reads or writes; a key that is a piece by itself is one.
+    fn range(&self) -> (u64, u64) {
+        (self.key, self.key + u64::from(self.blocks.max(1)))
+    }
+
     fn tell(&self, answer: &str, reason: &str) {
         self.span.in_scope(|| {
             let (hand_offs, node) = (self.hand_offs, self.last_node);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,8 +20,8 @@
 use magpiewick_link::{Clock, Ended, Poll, Registered, Woken};
 use magpiewick_merge::{cut, Gather, Progress};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, Hello, List, MapNews, Message, Read, Role, Take, Verdict, MOST_PAYLOAD,
-    VERSION,
+    self as wire, Code, Final, Frames, Hello, List, MapNews, Message, Read, Role, Take, Verdict,
+    MOST_PAYLOAD, VERSION,
 };
 use sheet::HostSheet;
 use std::io::{self, ErrorKind, Read as _};
@@ -579,19 +579,19 @@
         );
         match self.pieces(take) {
             Err(why) => refuse(&mut self.floor, why),
-            Ok(pieces) if pieces.len() > 1 => self.take_whole(key, take, pieces, time_limit, span),
-            Ok(_) => {
+            Ok(Some(pieces)) => self.take_whole(key, take, pieces, time_limit, span),
+            Ok(None) => {
                 let client = Some((key, take.command));
                 self.admit(client, None, take, time_limit, span);
             }
         }
     }
 
-    /// The pieces in which a command must travel, or why it cannot at all.
-    fn pieces(&self, take: &Take) -> Result<Vec<(u64, u64)>, &'static str> {
+    /// The pieces in which a command must travel, none where it travels whole; or why it cannot at all.
+    fn pieces(&self, take: &Take) -> Result<Option<Vec<(u64, u64)>>, &'static str> {
         let (start, end) = (take.key, take.key.saturating_add(u64::from(take.blocks.max(1))));
         if end - start == 1 {
-            return Ok(vec![(start, end)]);
+            return Ok(None);
         }
         if start == 0 || end == u64::MAX {
             return Err("impossible-range");
@@ -599,7 +599,7 @@
         let Some(edges) = self.floor.map.edges(take.volume, start, end) else {
             // Without the map of a volume that lies on several shards nobody knows where a range lies.
             let shards = self.sheet.volumes.get(&take.volume).map_or(0, |v| v.shards.len());
-            return if shards > 1 { Err("unmapped-range") } else { Ok(vec![(start, end)]) };
+            return if shards > 1 { Err("unmapped-range") } else { Ok(None) };
         };
         let band = &self.sheet.start.bands[usize::from(take.band)];
         let cuts = !take.write && band.repeats == Repeats::Retriable && !band.in_order;
@@ -609,7 +609,7 @@
         if pieces.len() > 1 && !cuts {
             return Err("crosses-extents");
         }
-        Ok(pieces)
+        Ok(Some(pieces).filter(|pieces| pieces.len() > 1))
     }
 
     /// Takes a command, or a piece of one, to the desk, past the earlier writes that it overlaps.
@@ -767,16 +767,16 @@
 /// Hands each whole frame on until `each` names a fault; the bytes used up, and the fault. A frame that `each`
 /// faults is not used up.
 fn each_frame(bytes: &[u8], mut each: impl FnMut(Message) -> Option<String>) -> (usize, Option<String>) {
-    let mut used = 0;
+    let mut frames = Frames::new(bytes);
     loop {
-        match wire::read(&bytes[used..]) {
-            Ok(Read::Partial) => return (used, None),
-            Ok(Read::Skip(n)) => used += n,
-            Ok(Read::Whole(message, n)) => match each(message) {
-                None => used += n,
-                fault => return (used, fault),
-            },
-            Err(fault) => return (used, Some(fault.to_string())),
+        let before = frames.used();
+        let fault = match frames.next() {
+            None => return (frames.used(), None),
+            Some(Ok(message)) => each(message),
+            Some(Err(fault)) => return (frames.used(), Some(fault.to_string())),
+        };
+        if fault.is_some() {
+            return (before, fault);
         }
     }
 }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -106,8 +106,7 @@
     }
 
     fn greet(&mut self, life: u64, age_us: u64) {
-        let (lowest, highest, role, number) = (VERSION, VERSION, Role::Node, 3);
-        self.say(&Message::Hello(Hello { lowest, highest, role, number, life, age_us }));
+        self.say(&Message::Hello(Hello::of(Role::Node, 3, life, age_us)));
     }
 
     fn settle(&mut self, (command, hand_off): (u64, u16), payload: &[u8]) {
--- a/crates/merge/src/company.rs
+++ b/crates/merge/src/company.rs
@@ -93,11 +93,6 @@
         }
     }
 
-    /// The piece of a held write, for one whose place changes.
-    pub fn piece(&self, command: u64) -> Option<&Piece> {
-        self.held.get(&command)
-    }
-
     /// The next write that may travel with those in `parts`, of which the first one leaves now. One that was
     /// offered and is not the last of `parts` when this is asked again was kept back. Nearest ranges come first.
     pub fn beside(&mut self, parts: impl DoubleEndedIterator<Item = u64> + Clone) -> Option<u64> {
--- a/crates/merge/src/split.rs
+++ b/crates/merge/src/split.rs
@@ -72,10 +72,6 @@
         Some(piece)
     }
 
-    pub fn over(&self) -> bool {
-        self.over
-    }
-
     pub fn brought(&mut self, piece: usize, payload: Vec<u8>) -> Progress {
         if self.over || !matches!(self.pieces[piece], Stage::Out) {
             return Progress::Pending;
--- a/crates/nodewire/src/lib.rs
+++ b/crates/nodewire/src/lib.rs
@@ -88,6 +88,42 @@
     }
 }
 
+/// The messages at the start of some bytes, those to be skipped passed over; ends where nothing whole is left, and
+/// after a fault nothing can be read on.
+pub struct Frames<'a> {
+    bytes: &'a [u8],
+    used: usize,
+}
+
+impl<'a> Frames<'a> {
+    pub fn new(bytes: &'a [u8]) -> Frames<'a> {
+        Frames { bytes, used: 0 }
+    }
+
+    /// Bytes of all frames that were handed out or passed over.
+    pub fn used(&self) -> usize {
+        self.used
+    }
+}
+
+impl<'a> Iterator for Frames<'a> {
+    type Item = Result<Message<'a>, Fault>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        loop {
+            match read(&self.bytes[self.used..]) {
+                Ok(Read::Partial) => return None,
+                Ok(Read::Skip(n)) => self.used += n,
+                Ok(Read::Whole(message, n)) => {
+                    self.used += n;
+                    return Some(Ok(message));
+                }
+                Err(fault) => return Some(Err(fault)),
+            }
+        }
+    }
+}
+
 fn checksum(header: &[u8], body: &[u8]) -> u32 {
     crc32c::crc32c_append(crc32c::crc32c(header), body)
 }
--- a/crates/nodewire/src/message.rs
+++ b/crates/nodewire/src/message.rs
@@ -34,6 +34,13 @@
     pub age_us: u64,
 }
 
+impl Hello {
+    /// The greeting of this version.
+    pub fn of(role: Role, number: u32, life: u64, age_us: u64) -> Hello {
+        Hello { lowest: VERSION, highest: VERSION, role, number, life, age_us }
+    }
+}
+
 /// A command on its way from a host to a node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HandOff<'a> {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -7,8 +7,8 @@
 use magpiewick_extents::{Change, Changes, Extent, Stage};
 use magpiewick_link::{listen, Clock, Connection, Poll, Registered, Timers, Woken, NOTHING};
 use magpiewick_nodewire::{
-    self as wire, Code, Final, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message, MoveStage,
-    Outcome, Read, Role, State, Verdict, LONG_AGO, MOST_MAP_LINES, VERSION,
+    self as wire, Code, Final, Frames, HandOff, Hello, Line, List, MapLine, MapNews, Mapped, Message,
+    MoveStage, Outcome, Role, State, Verdict, LONG_AGO, MOST_MAP_LINES,
 };
 use nanorand::{Rng, WyRand};
 use slab::Slab;
@@ -563,36 +563,29 @@
     fn hello(&self, node: Option<usize>) -> Message<'static> {
         let n = node.map(|n| &self.nodes[n]);
         let age = |at: Ms| ((self.now - at).max(0.0) * 1000.0) as u64;
-        Message::Hello(Hello {
-            lowest: VERSION,
-            highest: VERSION,
-            role: n.map_or(Role::List, |_| Role::Node),
-            number: n.map_or(0, |n| n.sheet.number),
-            life: n.map_or(0, |n| n.life),
-            age_us: n.and_then(|n| n.started).map_or(LONG_AGO, age),
-        })
+        Message::Hello(Hello::of(
+            n.map_or(Role::List, |_| Role::Node),
+            n.map_or(0, |n| n.sheet.number),
+            n.map_or(0, |n| n.life),
+            n.and_then(|n| n.started).map_or(LONG_AGO, age),
+        ))
     }
 
     fn peer_readable(&mut self, index: usize) {
         let Some(peer) = self.peers.get_mut(index) else { return };
         let serial = peer.serial;
         let mut ended = peer.connection.fill().is_err();
-        let (input, mut used) = (peer.connection.take_input(), 0);
+        let input = peer.connection.take_input();
+        let mut frames = Frames::new(&input);
         while !ended {
-            match wire::read(&input[used..]) {
-                Ok(Read::Partial) => break,
-                Ok(Read::Skip(n)) => used += n,
-                Ok(Read::Whole(message, n)) => {
-                    used += n;
-                    ended = !self.said(index, &message);
-                    // Whoever broke the connection off took its peer away.
-                    if self.peers.get(index).is_none_or(|p| p.serial != serial) {
-                        return;
-                    }
-                }
-                Err(_) => ended = true,
+            let Some(message) = frames.next() else { break };
+            ended = !message.is_ok_and(|message| self.said(index, &message));
+            // Whoever broke the connection off took its peer away.
+            if self.peers.get(index).is_none_or(|p| p.serial != serial) {
+                return;
             }
         }
+        let used = frames.used();
         self.peers[index].connection.give_back(input, used);
         if ended {
             self.end_peer(index);
