Spread new objects by chance over free nodes, and close no node for one lost answer

Change: of two free nodes by chance the one that answers faster takes the next new object; a node rests when a second hand-off in a row ends without an answer. The first also guards against any crowd of equal hosts and harms where one node is far better than all; the second costs a place for one soft limit at a dead node.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -129,6 +129,7 @@
     credited: Ms,
     sent: Ms,
     answered: Ms,
+    mute: u32,
     rest: Ms,
     rests_until: Ms,
 }
@@ -350,16 +351,10 @@
         while let Some((_, id)) = self.outside.look.pop_first() {
             self.line_up(now, id);
         }
-        let mut from = 0;
-        let next = |b: &Brain, from| {
-            if b.outside.open.is_empty() { &b.able } else { &b.roomy }.range(from..).next().copied()
-        };
-        while let Some(node) = next(self, from) {
-            self.draw_open(now, node);
-            if let Some(id) = self.next_of(now, node) {
-                return Due::Ask(id);
-            }
-            from = node + 1;
+        while self.draw_open(now) {}
+        let able: Vec<usize> = self.able.iter().copied().collect();
+        if let Some(id) = able.into_iter().find_map(|node| self.next_of(now, node)) {
+            return Due::Ask(id);
         }
         let late: Vec<Option<usize>> = self.waiting.late.due(now + SOONER).collect();
         for shard in late {
@@ -636,20 +631,28 @@
         self.outside.sleep(turn, id, free_at);
     }
 
-    /// Lets a node with a free place take the oldest command that names no node into its line, one at a time.
-    fn draw_open(&mut self, now: Ms, node: usize) {
-        let Some(n) = self.nodes[node].as_ref().filter(|_| !self.outside.open.is_empty()) else { return };
-        let names_none = |id: usize| self.held[id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
-        if !n.has_place(now, false) || n.line.iter().any(|l| names_none(l.2)) {
-            return;
+    /// Lets a node with a free place take the oldest command that names no node into its line, one at a time:
+    /// of two by chance the one that answers faster. Guards against hosts that all pick the same node.
+    fn draw_open(&mut self, now: Ms) -> bool {
+        if self.outside.open.is_empty() {
+            return false;
         }
+        let names_none = |id: usize| self.held[id].as_ref().is_some_and(|h| h.cmd.shard.is_none());
+        let takes = |n: &&Node| n.has_place(now, false) && !n.line.iter().any(|l| names_none(l.2));
+        let nodes = self.roomy.iter().filter_map(|n| self.nodes[*n].as_ref());
+        let free: Vec<usize> = nodes.filter(takes).map(|n| n.entry.node).collect();
+        if free.is_empty() {
+            return false;
+        }
+        let mut chance = || free[self.chance.generate_range(0..free.len())];
+        let (one, other) = (chance(), chance());
+        let speed = |node: usize| self.nodes[node].as_ref().and_then(|n| n.latency).unwrap_or(0.0);
+        let node = if speed(other) < speed(one) { other } else { one };
         let mut open = self.outside.open.values().copied();
         let free = |id: &usize| self.free_at(now, *id, node).is_some_and(|at| at <= now);
-        if let Some(id) = open.find(free) {
-            if self.draw_limit(now, id).is_some_and(|at| at <= now) {
-                self.join(now, id, node);
-            }
-        }
+        let drawn = open.find(free).filter(|id| self.draw_limit(now, *id).is_some_and(|at| at <= now));
+        drawn.into_iter().for_each(|id| self.join(now, id, node));
+        drawn.is_some()
     }
 
     /// From when on a command may join a node's line, as far as time alone forbids it; none where more does.
@@ -922,11 +925,16 @@
             }
             Outcome::Full | Outcome::NoConnection | Outcome::Reset => n.set_back(now, self.jam_floor, 0.5),
             // A node that answered nothing until then is tried again with one command at a time.
-            Outcome::TimedOut | Outcome::Cancelled if silent => n.set_back(now, self.jam_floor, 0.0),
+            Outcome::TimedOut | Outcome::Cancelled if silent => {
+                n.mute += 1;
+                if n.mute >= 2 {
+                    n.set_back(now, self.jam_floor, 0.0);
+                }
+            }
             _ => {}
         }
         if !matches!(answer.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
-            n.answered = now;
+            (n.answered, n.mute) = (now, 0);
         }
         n.reset_if_idle();
         let turned = failing != (n.rest > FIRST_REST);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,6 +310,31 @@
     assert_eq!(w.seen[id].hand_offs[0].node, 1);
 }
 
+#[test]
+fn hosts_spread_their_new_objects_over_the_nodes() {
+    let first = |seed| {
+        let mut w = World::new(Start { seed, ..start() });
+        let id = w.take(Command { shard: None, ..in_volume(1) });
+        w.seen[id].hand_offs[0].node
+    };
+    let at_first = (0..40).filter(|&seed| first(seed) == 0).count();
+    assert!((10..30).contains(&at_first), "{at_first} of 40 hosts chose the same node");
+}
+
+#[test]
+fn one_hand_off_without_an_answer_does_not_close_a_node() {
+    let sent = |lost: usize| {
+        let mut w = World::new(start());
+        for _ in 0..lost {
+            w.take(in_volume(1));
+            w.pass(250.0);
+        }
+        let id = w.take(in_volume(2));
+        sends(&w, id)
+    };
+    assert_eq!([sent(1), sent(4)], [1, 0]);
+}
+
 #[test]
 fn slow_answers_narrow_the_window_under_its_floor_and_quick_ones_widen_it() {
     let held = |latency: Ms| {
