Let a node's window count what all hosts have out there, as far as they tell

Change: hosts tell each other every 200 ms, at most 48 by chance, what they have out at each node, how many answers came and by how much these were over the typical latency of their band (Due::Tell, heard; bytes in crates/peers). While a host hears, a window counts its own and the others' places, keeps the design's floor of 4 as that of all hosts together, and needs no rests; what the reserve covers may go to twice the window. The wait to expect is no more than what the places ahead take. Told counts lapse; without them all stays as for hosts that say nothing. The judge now holds answers against the lowest mean of a band's latencies over all nodes, at most a quarter of the soft limit (lines of judge and learn; TIGHT, JAMMED 0.1 and 0.2 of what is left). It could harm where clocks of work differ much by node: a slow node then waits at its floor.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::facts::NS_PER_MS;
 use crate::wire::Reply;
-use magpiewick::{Answer, Ending, Entry, Ms, News, Start};
+use magpiewick::{Answer, Ending, Entry, Ms, News, Start, Told};
 use magpiewick_desk::{Desk, Part, Reason, Taken, World};
 
 pub struct Host {
@@ -60,6 +60,14 @@
         self.reply.u8(6).u32(self.number).u8(1);
     }
 
+    fn tell(&mut self, to: &[usize], told: &[(u32, Told)]) {
+        for message in magpiewick_peers::written(told) {
+            for peer in to {
+                self.reply.u8(9).u32(self.number).u16(*peer as u16).u16(message.len() as u16).put(&message);
+            }
+        }
+    }
+
     fn wake(&mut self, at: Ms) {
         let wait = ns(at - ms(self.now)).max(1);
         let at = self.now.saturating_add(wait);
@@ -98,6 +106,13 @@
         self.desk.abandoned(ms(now), id);
     }
 
+    /// A message from another host; one that cannot be read counts as one that got lost.
+    pub fn told(&mut self, now: u64, from: u16, message: &[u8]) {
+        if let Ok(told) = magpiewick_peers::read(message) {
+            self.desk.heard(ms(now), usize::from(from), &told);
+        }
+    }
+
     pub fn reminded(&mut self, label: u32) {
         if label == self.timer.label {
             self.timer.armed = None;
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -130,9 +130,9 @@
                 i.host.outcome(now, id, Answer { outcome, latency: ms(took), over, used, others }, reply);
             }
             5 => {
-                f.u16("a sender")?;
+                let from = f.u16("a sender")?;
                 let length = usize::from(f.u16("a message's length")?);
-                f.take(length, "a message")?;
+                i.host.told(now, from, f.take(length, "a message")?);
             }
             7 => {
                 let table = usize::from(f.u16("a table's number")?);
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -89,6 +89,11 @@
         Ok(&self.bytes)
     }
 
+    pub fn put(&mut self, bytes: &[u8]) -> &mut Reply {
+        self.bytes.extend_from_slice(bytes);
+        self
+    }
+
     pub fn u8(&mut self, v: u8) -> &mut Reply {
         self.bytes.push(v);
         self
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -10,7 +10,7 @@
 mod indices;
 
 use indices::{Indices, Keys};
-use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Where};
+use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Told, Where};
 use std::collections::HashMap;
 
 /// A command on its way to a node: the number of its hand-off, counted from 0, and within what time its outcome
@@ -39,6 +39,8 @@
     fn probe(&mut self, node: u32);
     /// Asks for the list of nodes and its changes from now on.
     fn watch(&mut self);
+    /// Tells other hosts, by their numbers, what this one saw of nodes, by the wire's ids. It may get lost.
+    fn tell(&mut self, _to: &[usize], _told: &[(u32, Told)]) {}
     /// Calls [`Desk::run`] at this time at the latest. A later call takes the place of an earlier one.
     fn wake(&mut self, at: Ms);
 }
@@ -223,6 +225,13 @@
         }
     }
 
+    /// What another host told. Nodes that the list has not named to this host are passed over.
+    pub fn heard(&mut self, now: Ms, from: usize, told: &[(u32, Told)]) {
+        let known = |(id, t): &(u32, Told)| Some(Told { node: self.nodes.known(id)?, ..*t });
+        let told: Vec<Told> = told.iter().filter_map(known).collect();
+        self.brain.heard(now, from, &told);
+    }
+
     /// The data of a command lies on another shard now.
     pub fn moved(&mut self, now: Ms, id: u64, shard: usize) {
         let Some(&slot) = self.by_id.get(&id) else { return };
@@ -243,6 +252,10 @@
                 }
                 Due::Probe(node) => world.probe(self.node_ids[node]),
                 Due::Watch => world.watch(),
+                Due::Tell { to, told } => {
+                    let told: Vec<(u32, Told)> = told.iter().map(|t| (self.node_ids[t.node], *t)).collect();
+                    world.tell(&to, &told);
+                }
                 Due::Until(until) => return world.wake(until),
             }
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,14 +13,21 @@
 const CEILING: f64 = 32.0;
 /// Departures while a node answers slower than these parts of the shortest soft limit: the window falls to
 /// one, and on until all hosts' windows together are at the floor. Under one it widens by this and doubles.
-const TIGHT: f64 = 0.15;
-const JAMMED: f64 = 0.6;
+const TIGHT: f64 = 0.1;
+const JAMMED: f64 = 0.2;
 const JAM_STEP: f64 = 0.05;
+const RECOVERY: Ms = 400.0;
+const STALE: Ms = 1000.0;
+const MOST_SMOOTHING: f64 = 0.5;
+const UNLOADED: f64 = 0.25;
+const SPARED: f64 = 2.0;
+const KEPT: f64 = 2.5;
+const PEER_FLOOR: f64 = 4.0;
 /// How much more than its payoff a volume's reserve counts.
 const IN_RESERVE: f64 = 4.0;
 /// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
-const NEAR_BEST: f64 = 1.5;
-const FAR_FROM_BEST: f64 = 2.5;
+const NEAR_BEST: f64 = 0.5;
+const FAR_FROM_BEST: f64 = 1.5;
 const NARROWING: f64 = 0.1;
 /// How much one answer moves the smoothed latency.
 const SMOOTHING: f64 = 0.15;
@@ -42,6 +49,9 @@
 /// tries, and how much of what was counted stays with each command.
 const USUAL: f64 = 0.3;
 const RECENT: f64 = 0.95;
+/// How often a host tells others what it saw, and how many of them at most.
+const TELL_EVERY: Ms = 200.0;
+const TOLD: usize = 48;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
 /// By how much sooner than its time something is looked at, so that rounding makes nothing late.
@@ -121,8 +131,10 @@
     out: Vec<Out>,
     window: f64,
     soft_limit: Ms,
-    latency: Option<f64>,
-    bests: Ring,
+    /// By how much its answers were lately over what commands take where nothing waits.
+    wait: Ms,
+    /// What the fastest band takes where nothing waits.
+    base: Ms,
     /// What it settled for this host lately, and the units that it may be sent while it is cold.
     served: Ring,
     credit: f64,
@@ -130,6 +142,9 @@
     sent: Ms,
     answered: Ms,
     mute: u32,
+    /// What other hosts have out there, as far as they told; whether they tell at all.
+    others: f64,
+    hears: bool,
     rest: Ms,
     rests_until: Ms,
 }
@@ -150,16 +165,26 @@
     }
 
     /// A place for a command that is spared rests, as its volume's reserve covers it, or for another.
-    fn has_place(&self, now: Ms, spared: bool) -> bool {
+    fn has_place(&self, now: Ms, reserved: bool) -> bool {
         let open = now >= self.rests_until;
-        let latency = self.latency.unwrap_or(0.0);
-        let spared = self.window >= 1.0 || spared && latency <= self.soft_limit;
-        let rested = spared || now >= self.sent + latency / self.window;
-        open && rested && self.has_room() && !self.silent(now)
+        let wait = self.expected();
+        let spared = self.window >= 1.0 || reserved && wait + self.base <= self.soft_limit;
+        let rested = spared || now >= self.sent + (self.wait + self.base) / self.window;
+        open && rested && self.has_room(reserved) && !self.silent(now)
     }
 
-    fn has_room(&self) -> bool {
-        self.entry.condition == Condition::Ready && self.places() < self.window.max(1.0)
+    /// How long a hand-off that is sent now is to wait. A queue that nobody adds to drains a millisecond each
+    /// millisecond, so a wait counts less once no answer was heard of for as long.
+    fn expected(&self) -> Ms {
+        if self.hears {
+            return self.wait.min((self.places() + self.others) * self.base);
+        }
+        self.wait
+    }
+
+    fn has_room(&self, spared: bool) -> bool {
+        let most = self.window.max(1.0) * if spared && self.hears { SPARED } else { 1.0 };
+        self.entry.condition == Condition::Ready && self.places() + self.others < most
     }
 
     /// The places of the window that are taken: one for all that left together, until the last of them ends.
@@ -176,8 +201,38 @@
         }
     }
 
+    /// What an answer says of the node, a host's own or a peer's: its latency at the mean size.
+    fn learn(&mut self, now: Ms, over: Ms, crowded: bool, b: &Bounds) {
+        let stale = 1.0 - (-(now - self.answered).min(1e6) / STALE).exp();
+        self.wait += SMOOTHING.max(MOST_SMOOTHING * stale) * (over - self.wait);
+        self.base = b.best;
+        if self.wait > TIGHT * b.room {
+            let jammed = self.wait > JAMMED * b.room;
+            let floor = if self.hears {
+                FLOOR
+            } else if jammed {
+                b.jam_floor
+            } else {
+                self.window.min(1.0)
+            };
+            self.window = (self.window * (1.0 - NARROWING)).max(floor);
+        } else if self.wait > FAR_FROM_BEST * b.best && self.window > FLOOR {
+            self.window = (self.window * (1.0 - NARROWING)).max(FLOOR);
+        } else if self.window < 1.0 {
+            let part = ((now - self.answered) / RECOVERY).min(1.0);
+            self.window = (self.window * part.exp2() + JAM_STEP * part).min(1.0);
+        } else if crowded && (self.wait < NEAR_BEST * b.best || self.window < FLOOR) {
+            self.window = (self.window + 1.0 / self.window).min(CEILING);
+        }
+    }
+
+    /// A time after which most hand-offs are answered.
+    fn usual_time(&self) -> Ms {
+        PATIENCE_TIMES * (self.wait + self.base)
+    }
+
     fn patience(&self, out: &Out) -> Ms {
-        out.patience.max(PATIENCE_TIMES * self.latency.unwrap_or(0.0))
+        out.patience.max(self.usual_time())
     }
 
     fn overdue(&self, now: Ms, out: &Out, since: Ms) -> bool {
@@ -189,6 +244,23 @@
     }
 }
 
+/// What a node's waits are held against: the typical latency of each band at the mean size, the least of
+/// these, what the shortest soft limit leaves beside it, and the floor of the window in a jam.
+struct Bounds {
+    jam_floor: f64,
+    typical: Vec<Ms>,
+    best: Ms,
+    room: Ms,
+}
+
+impl Bounds {
+    fn note(&mut self, band: usize, typical: Ms, soft_limit: Ms) {
+        self.typical[band] = typical;
+        self.best = self.typical.iter().copied().filter(|t| *t > 0.0).fold(f64::INFINITY, f64::min);
+        self.room = (soft_limit - self.best).max(soft_limit / 4.0);
+    }
+}
+
 /// Volume, key, band and units: what a client's later try shares with the first.
 type Again = (usize, usize, usize, u64);
 
@@ -233,7 +305,17 @@
     further: Ring,
     ask_at: Option<Ms>,
     ask_rest: Ms,
-    jam_floor: f64,
+    bounds: Bounds,
+    /// By band: latencies at the mean size of all nodes; the typical one is the lowest mean.
+    typical: Vec<Ring>,
+    /// By node: answers since the last word to peers and the sum of their latencies; when the next is due.
+    gathered: BTreeMap<usize, (u32, Ms)>,
+    tell_at: Ms,
+    telling: bool,
+    /// By peer: when it last told, and what it had out where.
+    peers: Vec<(Ms, Vec<(usize, f64)>)>,
+    forget_at: Ms,
+    hears: bool,
     /// The shortest of all bands.
     soft_limit: Ms,
     /// The smallest weight that any volume can have.
@@ -245,6 +327,7 @@
         let window = start.budget.as_ref().map_or(1000.0, |b| b.window) / PARTS as f64;
         let (bands, plans) = (start.bands.len(), start.plans.len());
         let weights = (0..2 * bands * plans).map(|i| weight(&start, i / 2 / plans, i / 2 % plans, i % 2 > 0));
+        let soft_limit = start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min);
         Brain {
             chance: WyRand::new_seed(start.seed),
             born: now,
@@ -269,8 +352,20 @@
             further: Ring::new(window, PARTS),
             ask_at: start.ask_within.map(|_| now),
             ask_rest: FIRST_REST,
-            jam_floor: (FLOOR / start.hosts).min(1.0),
-            soft_limit: start.bands.iter().map(|b| b.soft_limit).fold(f64::INFINITY, f64::min),
+            bounds: Bounds {
+                jam_floor: ((if start.peer.is_some() { PEER_FLOOR } else { FLOOR }) / start.hosts).min(1.0),
+                typical: vec![0.0; bands],
+                best: 0.0,
+                room: soft_limit,
+            },
+            typical: start.bands.iter().map(|_| Ring::new(SLOT, SLOTS)).collect(),
+            gathered: BTreeMap::new(),
+            tell_at: now,
+            telling: false,
+            peers: Vec::new(),
+            forget_at: now,
+            hears: false,
+            soft_limit,
             least: weights.fold(f64::INFINITY, f64::min),
             start,
         }
@@ -369,7 +464,15 @@
             }
             self.waits(id, true);
         }
+        self.forget_old(now);
+        let telling = self.telling || self.outs > 0 || !self.gathered.is_empty();
+        if let Some(peer) = self.start.peer.filter(|_| now >= self.tell_at && telling) {
+            return self.tell(now, peer);
+        }
         let mut until = self.ask_at.unwrap_or(now + 1000.0);
+        if telling && self.start.peer.is_some() {
+            until = until.min(self.tell_at);
+        }
         if self.outs > 0 {
             until = until.min(now + 4.0 * NAP);
         }
@@ -379,6 +482,94 @@
         Due::Until(until)
     }
 
+    /// Tells some peers, by chance, what this host has out at each node and what came in since the last time.
+    fn tell(&mut self, now: Ms, peer: usize) -> Due {
+        self.tell_at = now + TELL_EVERY;
+        let out = |n: &Node| n.places() as u32;
+        let mut told: BTreeMap<usize, Told> = BTreeMap::new();
+        for n in self.nodes.iter().flatten().filter(|n| !n.out.is_empty()) {
+            let node = n.entry.node;
+            told.insert(node, Told { node, out: out(n), answers: 0, wait: 0.0 });
+        }
+        for (node, (answers, all)) in std::mem::take(&mut self.gathered) {
+            let t = told.entry(node).or_insert(Told { node, out: 0, answers, wait: 0.0 });
+            (t.answers, t.wait) = (answers, all / f64::from(answers));
+        }
+        self.telling = told.values().any(|t| t.out > 0);
+        let hosts = self.start.hosts as usize;
+        let mut to: Vec<usize> = (0..hosts).filter(|&other| other != peer).collect();
+        while to.len() > TOLD {
+            let out = self.chance.generate_range(0..to.len());
+            to.swap_remove(out);
+        }
+        Due::Tell { to, told: told.into_values().collect() }
+    }
+
+    /// What another host tells of nodes. It moves what is known of a node that this host's list has named, as
+    /// own answers do; nothing rests on its coming, and it may come late, twice or never.
+    pub fn heard(&mut self, now: Ms, from: usize, told: &[Told]) {
+        if from as f64 >= self.start.hosts {
+            return;
+        }
+        self.peers.resize_with(self.peers.len().max(from + 1), Default::default);
+        self.forget_peer(from);
+        self.hear(true);
+        for t in told {
+            let Some(Some(n)) = self.nodes.get_mut(t.node) else { continue };
+            n.others += f64::from(t.out);
+            let crowded = n.places() + n.others >= n.window - 1.0;
+            // An answer that comes was sent a wait before: what left here earlier has been passed by it.
+            let sent = now - t.wait - n.base - TELL_EVERY;
+            n.out.iter_mut().filter(|o| o.at < sent).for_each(|o| o.passed += t.answers.min(16));
+            for _ in 0..t.answers.min(16) {
+                n.learn(now, t.wait, crowded, &self.bounds);
+                n.answered = now;
+            }
+            let shard = n.entry.shard;
+            self.touch(t.node);
+            self.set_late(Some(shard));
+        }
+        self.peers[from] = (now, told.iter().map(|t| (t.node, f64::from(t.out))).collect());
+    }
+
+    fn forget_peer(&mut self, from: usize) {
+        for (node, out) in std::mem::take(&mut self.peers[from].1) {
+            if let Some(Some(n)) = self.nodes.get_mut(node) {
+                n.others = (n.others - out).max(0.0);
+                self.touch(node);
+            }
+        }
+    }
+
+    fn hear(&mut self, hears: bool) {
+        if self.hears != hears {
+            self.hears = hears;
+            for n in self.nodes.iter_mut().flatten() {
+                n.hears = hears;
+                if hears {
+                    n.window = n.window.max(FLOOR);
+                }
+            }
+        }
+    }
+
+    /// What a peer told some time ago counts no more.
+    fn forget_old(&mut self, now: Ms) {
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = now + TELL_EVERY;
+        let parts = (self.start.hosts / TOLD as f64).max(1.0);
+        for peer in 0..self.peers.len() {
+            if self.peers[peer].0 + KEPT * parts * TELL_EVERY < now && !self.peers[peer].1.is_empty() {
+                self.forget_peer(peer);
+            }
+        }
+        if self.peers.iter().all(|p| p.0 + 5.0 * parts * TELL_EVERY < now) {
+            self.hear(false);
+        }
+    }
+
     /// The next hand-off to cancel: its client has gone, or its answer is not to be hoped for. The latter
     /// guards the places of a window against answers that get lost and nodes that take work and answer
     /// nothing, whatever the cause; it could harm where single commands take many times the usual work.
@@ -389,7 +580,9 @@
         for node in overdue {
             let Some(n) = &mut self.nodes[node] else { continue };
             let silent = n.silent(now);
-            let lost = |n: &Node, o: &Out| n.overdue(now, o, o.at) && (silent || o.passed >= PASSED);
+            let lost = |n: &Node, o: &Out| {
+                silent && n.overdue(now, o, o.at) || o.passed >= PASSED && now - o.at > n.usual_time()
+            };
             let due = n.out.iter().position(|o| !o.cancelled && lost(n, o));
             if let Some(o) = due.map(|i| &mut n.out[i]) {
                 o.cancelled = true;
@@ -404,13 +597,13 @@
     /// Brings what is known of a node's places and of its overdue hand-offs up to date.
     fn touch(&mut self, node: usize) {
         let n = self.nodes[node].as_ref();
-        let room = n.is_some_and(Node::has_room);
+        let room = n.is_some_and(|n| n.has_room(true));
         let able = room && n.is_some_and(|n| !n.line.is_empty());
         for (set, is) in [(&mut self.roomy, room), (&mut self.able, able)] {
             _ = if is { set.insert(node) } else { set.remove(&node) };
         }
         let open =
-            n.into_iter().flat_map(|n| n.out.iter().filter(|o| !o.cancelled).map(|o| o.at + n.patience(o)));
+            n.into_iter().flat_map(|n| n.out.iter().filter(|o| !o.cancelled).map(|o| o.at + n.usual_time()));
         self.checks.set(node, open.min_by(f64::total_cmp));
     }
 
@@ -478,9 +671,9 @@
             let node = self.nodes[entry.node].get_or_insert_with(|| Node {
                 window: FLOOR,
                 soft_limit: self.soft_limit,
-                bests: Ring::new(SLOT, SLOTS),
                 served: Ring::new(SLOT, SLOTS),
                 rest: FIRST_REST,
+                hears: self.hears,
                 ..Node::default()
             });
             if node.entry.started != entry.started {
@@ -600,10 +793,11 @@
         self.held[id].as_ref().is_some_and(|h| now + self.latency(h) >= h.late_at)
     }
 
-    /// The latency of the node that a command would go to; 0 where that is not known.
+    /// The latency to expect of a held command at the node that it would go to; 0 where that is not known.
     fn latency(&self, h: &Held) -> Ms {
-        let node = h.cmd.shard.and_then(|shard| self.holder(shard));
-        node.and_then(|n| self.nodes[n].as_ref()).and_then(|n| n.latency).unwrap_or(0.0)
+        let node = h.cmd.shard.and_then(|shard| self.holder(shard)).and_then(|n| self.nodes[n].as_ref());
+        let size = (1.0 + h.cmd.units / self.start.mean_units) / 2.0;
+        node.map_or(0.0, |n| n.expected() + self.bounds.typical[h.cmd.band] * size)
     }
 
     /// The node to which commands of a shard go: of those that are ready one that does not fail, and of these
@@ -646,7 +840,9 @@
         }
         let mut chance = || free[self.chance.generate_range(0..free.len())];
         let (one, other) = (chance(), chance());
-        let speed = |node: usize| self.nodes[node].as_ref().and_then(|n| n.latency).unwrap_or(0.0);
+        let speed = |node: usize| {
+            self.nodes[node].as_ref().map_or(0.0, |n| n.wait + (n.places() + n.others) * n.base)
+        };
         let node = if speed(other) < speed(one) { other } else { one };
         let mut open = self.outside.open.values().copied();
         let free = |id: &usize| self.free_at(now, *id, node).is_some_and(|at| at <= now);
@@ -897,38 +1093,36 @@
 
     fn judge(&mut self, now: Ms, id: usize, node: usize, answer: &Answer, units: f64) {
         let Some(n) = &mut self.nodes[node] else { return };
-        let crowded = n.places() >= n.window - 1.0;
+        let crowded = n.places() + n.others >= n.window - 1.0;
         let silent = n.silent(now);
         let Some(place) = n.out.iter().position(|o| o.id == id) else { return };
+        let band = self.held[id].as_ref().map_or(0, |h| h.cmd.band);
         let (load, failing, shard) = (n.out.remove(place).load, n.rest > FIRST_REST, n.entry.shard);
         match answer.outcome {
             Outcome::Settled => {
                 n.served.add(now, units);
-                let sized = answer.latency * 2.0 / (1.0 + load / self.start.mean_units);
-                n.bests.add(now, sized);
-                let recent = n.latency.map_or(sized, |l| l + SMOOTHING * (sized - l));
-                n.latency = Some(recent);
-                let best = n.bests.lowest_mean(now).unwrap_or(recent);
-                if recent > TIGHT * self.soft_limit {
-                    let floor =
-                        if recent > JAMMED * self.soft_limit { self.jam_floor } else { n.window.min(1.0) };
-                    n.window = (n.window * (1.0 - NARROWING)).max(floor);
-                } else if recent > FAR_FROM_BEST * best && n.window > FLOOR {
-                    n.window = (n.window * (1.0 - NARROWING)).max(FLOOR);
-                } else if n.window < 1.0 {
-                    n.window = (2.0 * n.window + JAM_STEP).min(1.0);
-                } else if crowded && (recent < NEAR_BEST * best || n.window < FLOOR) {
-                    n.window = (n.window + 1.0 / n.window).min(CEILING);
+                let size = (1.0 + load / self.start.mean_units) / 2.0;
+                self.typical[band].add(now, answer.latency / size);
+                let most = UNLOADED * self.start.bands[band].soft_limit;
+                let typical = self.typical[band].lowest_mean(now).unwrap_or(most).min(most);
+                self.bounds.note(band, typical, self.soft_limit);
+                let over = (answer.latency - typical * size).max(0.0);
+                if self.start.peer.is_some() {
+                    let (answers, all) = self.gathered.entry(node).or_default();
+                    (*answers, *all) = (*answers + 1, *all + over);
                 }
+                n.learn(now, over, crowded, &self.bounds);
                 n.rest = FIRST_REST;
                 n.out[..place].iter_mut().for_each(|o| o.passed += 1);
             }
-            Outcome::Full | Outcome::NoConnection | Outcome::Reset => n.set_back(now, self.jam_floor, 0.5),
+            Outcome::Full | Outcome::NoConnection | Outcome::Reset => {
+                n.set_back(now, self.bounds.jam_floor, 0.5)
+            }
             // A node that answered nothing until then is tried again with one command at a time.
             Outcome::TimedOut | Outcome::Cancelled if silent => {
                 n.mute += 1;
                 if n.mute >= 2 {
-                    n.set_back(now, self.jam_floor, 0.0);
+                    n.set_back(now, self.bounds.jam_floor, 0.0);
                 }
             }
             _ => {}
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -87,6 +87,8 @@
     pub most_together: f64,
     /// The part of the payoff that units beyond the reserve earn within the volume's share.
     pub share_payoff: f64,
+    /// Set where hosts may send each other messages: this host's number, counted from 0.
+    pub peer: Option<usize>,
 }
 
 /// A command as the host took it. `key` and `shard` are none where the command has none.
@@ -172,8 +174,19 @@
     End(Ending),
 }
 
-/// What is due now, or until when nothing is.
+/// What one host tells others of a node: how many answers it had from there since it last told, and by how much
+/// these were over what commands take where nothing waits, in the mean.
 #[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Told {
+    pub node: usize,
+    /// What it has out there.
+    pub out: u32,
+    pub answers: u32,
+    pub wait: Ms,
+}
+
+/// What is due now, or until when nothing is.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Due {
     Ask(usize),
     Cancel {
@@ -183,6 +196,11 @@
     Probe(usize),
     /// Ask for the list of nodes and its changes from now on.
     Watch,
+    /// Tell these hosts, by their numbers.
+    Tell {
+        to: Vec<usize>,
+        told: Vec<Told>,
+    },
     Until(Ms),
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -51,6 +51,7 @@
         mean_units: 2.0,
         most_together: 8.0,
         share_payoff: 0.3,
+        peer: None,
     }
 }
 
@@ -120,6 +121,7 @@
     /// When each node's present process was told of.
     told: BTreeMap<usize, Ms>,
     pub asked: u32,
+    pub told_others: Vec<Vec<Told>>,
     /// Commands whose hand-off was cancelled; time brings the outcome.
     pub cancelled: Vec<usize>,
     /// Whoever is held is offered to leave with each command that leaves.
@@ -141,6 +143,7 @@
             stores: BTreeMap::new(),
             told: BTreeMap::new(),
             asked: 0,
+            told_others: Vec::new(),
             cancelled: Vec::new(),
             together: false,
         };
@@ -244,6 +247,7 @@
                 Due::Cancel { command, .. } => self.cancelled.push(command),
                 Due::Probe(_) => {}
                 Due::Watch => self.asked += 1,
+                Due::Tell { told, .. } => self.told_others.push(told),
                 Due::Until(at) => return at.max(self.now + ROUND),
             }
         }
