Take turns for a node that several hosts wait for; tell what is lost from what is late

A place that comes free is seen free by all hosts at once, and each that has commands waiting takes it.

Change: a host tells whether commands wait for a node; where others wait, what the reserve does not cover leaves after a random turn of about what the others need (latency times the hosts that wait over the window). Where over 5% of hand-offs prove lost, four later answers instead of eight make one doubtful: it takes no place, and after three usual times of its band it is cancelled and tried again. Guards also against any herd of equal hosts, and against nodes that drop answers for any reason; harms where nodes reorder much. Messages go out every 100 ms, in four bytes an entry. Where neither answers nor the meter tell of others, a host counts on the reserve over the root of the number of hosts, as hosts are used unevenly.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -139,6 +139,7 @@
         // The bench's servers take commands one by one.
         most_together: f.number_or("specifics.units_top", 1.0)?,
         share_payoff: f.number_or("specifics.share_worth", 1.0)?,
+        counts_others: f.flag("specifics.counts_others")?,
         peer: match f.flag("limits.may_tell")? {
             true => Some(f.needed("my_number", f.parsed("my_number")?)?),
             false => None,
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -60,7 +60,7 @@
         self.reply.u8(6).u32(self.number).u8(1);
     }
 
-    fn tell(&mut self, to: &[usize], told: &[(u32, Told)]) {
+    fn tell(&mut self, to: &[usize], told: &[(u16, Told)]) {
         for message in magpiewick_peers::written(told) {
             for peer in to {
                 self.reply.u8(9).u32(self.number).u16(*peer as u16).u16(message.len() as u16).put(&message);
--- a/crates/desk/src/indices.rs
+++ b/crates/desk/src/indices.rs
@@ -17,10 +17,6 @@
         let next = self.0.len();
         *self.0.entry(id).or_insert(next)
     }
-
-    pub fn known(&self, id: &K) -> Option<usize> {
-        self.0.get(id).copied()
-    }
 }
 
 /// How many keys are kept at least; more than a host can have in hand at once.
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -39,8 +39,8 @@
     fn probe(&mut self, node: u32);
     /// Asks for the list of nodes and its changes from now on.
     fn watch(&mut self);
-    /// Tells other hosts, by their numbers, what this one saw of nodes, by the wire's ids. It may get lost.
-    fn tell(&mut self, _to: &[usize], _told: &[(u32, Told)]) {}
+    /// Tells other hosts, by their numbers, what this one saw of nodes, by their tags. It may get lost.
+    fn tell(&mut self, _to: &[usize], _told: &[(u16, Told)]) {}
     /// Calls [`Desk::run`] at this time at the latest. A later call takes the place of an earlier one.
     fn wake(&mut self, at: Ms);
 }
@@ -96,10 +96,17 @@
     }
 }
 
+/// By what hosts name a node to each other: part of its id, scattered, as ids may differ in any bits.
+fn tag(id: u32) -> u16 {
+    (id.wrapping_mul(0x9e37_79b1) >> 16) as u16
+}
+
 pub struct Desk {
     brain: Brain,
     nodes: Indices<u32>,
     node_ids: Vec<u32>,
+    /// By tag: the node, or none where several have it.
+    tags: HashMap<u16, Option<usize>>,
     volumes: Indices<u64>,
     keys: Keys,
     by_id: HashMap<u64, usize>,
@@ -115,6 +122,7 @@
             brain: Brain::new(start, now),
             nodes: Indices::default(),
             node_ids: Vec::new(),
+            tags: HashMap::new(),
             volumes: Indices::default(),
             keys: Keys::default(),
             by_id: HashMap::new(),
@@ -136,6 +144,7 @@
             let node = self.nodes.of(*id);
             if node == self.node_ids.len() {
                 self.node_ids.push(*id);
+                self.tags.entry(tag(*id)).and_modify(|node| *node = None).or_insert(Some(node));
             }
             mapped.push(Entry { node, ..entry.clone() });
         }
@@ -226,8 +235,8 @@
     }
 
     /// What another host told. Nodes that the list has not named to this host are passed over.
-    pub fn heard(&mut self, now: Ms, from: usize, told: &[(u32, Told)]) {
-        let known = |(id, t): &(u32, Told)| Some(Told { node: self.nodes.known(id)?, ..*t });
+    pub fn heard(&mut self, now: Ms, from: usize, told: &[(u16, Told)]) {
+        let known = |(tag, t): &(u16, Told)| Some(Told { node: (*self.tags.get(tag)?)?, ..*t });
         let told: Vec<Told> = told.iter().filter_map(known).collect();
         self.brain.heard(now, from, &told);
     }
@@ -253,7 +262,8 @@
                 Due::Probe(node) => world.probe(self.node_ids[node]),
                 Due::Watch => world.watch(),
                 Due::Tell { to, told } => {
-                    let told: Vec<(u32, Told)> = told.iter().map(|t| (self.node_ids[t.node], *t)).collect();
+                    let told: Vec<(u16, Told)> =
+                        told.iter().map(|t| (tag(self.node_ids[t.node]), *t)).collect();
                     world.tell(&to, &told);
                 }
                 Due::Until(until) => return world.wake(until),
--- a/crates/desk/tests/answers.rs
+++ b/crates/desk/tests/answers.rs
@@ -82,6 +82,7 @@
         mean_units: 1.0,
         most_together: 8.0,
         share_payoff: 0.3,
+        counts_others: true,
         peer: None,
     }
 }
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -138,6 +138,7 @@
         mean_units: mean,
         most_together: units,
         share_payoff: part.field("share_payoff").part_or(0.35),
+        counts_others: true,
         peer: None,
     };
     if let Some(p) = root.part("cold") {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,10 @@
 /// out as long that this many later ones have passed is lost.
 const PATIENCE_TIMES: f64 = 4.0;
 const PASSED: u32 = 8;
+const DOUBTED: u32 = 4;
+const LOSSY: f64 = 0.05;
+const LOSS: f64 = 0.05;
+const LOST_TIMES: f64 = 3.0;
 /// Waits between tries at a silent or refusing node: the first, doubled up to the last.
 const FIRST_REST: Ms = 50.0;
 const LAST_REST: Ms = 1600.0;
@@ -50,7 +54,7 @@
 const USUAL: f64 = 0.3;
 const RECENT: f64 = 0.95;
 /// How often a host tells others what it saw, and how many of them at most.
-const TELL_EVERY: Ms = 200.0;
+const TELL_EVERY: Ms = 100.0;
 const TOLD: usize = 48;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
 const PARTS: usize = 20;
@@ -114,6 +118,8 @@
     hand_off: u32,
     at: Ms,
     patience: Ms,
+    /// What it takes where nothing waits.
+    own: Ms,
     passed: u32,
     cancelled: bool,
 }
@@ -135,6 +141,8 @@
     wait: Ms,
     /// What the fastest band takes where nothing waits.
     base: Ms,
+    /// How many later answers make a hand-off doubtful.
+    enough: u32,
     /// What it settled for this host lately, and the units that it may be sent while it is cold.
     served: Ring,
     credit: f64,
@@ -145,6 +153,9 @@
     /// What other hosts have out there, as far as they told; whether they tell at all.
     others: f64,
     hears: bool,
+    /// How many of them have commands waiting for it, and how long this host's turn takes beside theirs.
+    rivals: usize,
+    turn: f64,
     rest: Ms,
     rests_until: Ms,
 }
@@ -167,10 +178,18 @@
     /// A place for a command that is spared rests, as its volume's reserve covers it, or for another.
     fn has_place(&self, now: Ms, reserved: bool) -> bool {
         let open = now >= self.rests_until;
-        let wait = self.expected();
-        let spared = self.window >= 1.0 || reserved && wait + self.base <= self.soft_limit;
-        let rested = spared || now >= self.sent + (self.wait + self.base) / self.window;
-        open && rested && self.has_room(reserved) && !self.silent(now)
+        let latency = self.wait + self.base;
+        let rest = match (self.hears, self.rivals) {
+            (true, 0) => 0.0,
+            _ if reserved && self.hears => 0.0,
+            (true, rivals) => {
+                self.turn * (rivals + 1) as f64 * latency
+                    / (self.window * if reserved { SPARED } else { 1.0 })
+            }
+            _ if self.window >= 1.0 || reserved && self.expected() + self.base <= self.soft_limit => 0.0,
+            _ => latency / self.window,
+        };
+        open && now >= self.sent + rest && self.has_room(reserved) && !self.silent(now)
     }
 
     /// How long a hand-off that is sent now is to wait. A queue that nobody adds to drains a millisecond each
@@ -190,7 +209,8 @@
     /// The places of the window that are taken: one for all that left together, until the last of them ends.
     fn places(&self) -> f64 {
         let mut last = 0;
-        self.out.iter().filter(|o| std::mem::replace(&mut last, o.batch) != o.batch).count() as f64
+        let out = self.out.iter().filter(|o| o.passed < self.enough);
+        out.filter(|o| std::mem::replace(&mut last, o.batch) != o.batch).count() as f64
     }
 
     fn set_back(&mut self, now: Ms, least: f64, part: f64) {
@@ -205,7 +225,7 @@
     fn learn(&mut self, now: Ms, over: Ms, crowded: bool, b: &Bounds) {
         let stale = 1.0 - (-(now - self.answered).min(1e6) / STALE).exp();
         self.wait += SMOOTHING.max(MOST_SMOOTHING * stale) * (over - self.wait);
-        self.base = b.best;
+        (self.base, self.enough) = (b.best, b.enough);
         if self.wait > TIGHT * b.room {
             let jammed = self.wait > JAMMED * b.room;
             let floor = if self.hears {
@@ -226,13 +246,13 @@
         }
     }
 
-    /// A time after which most hand-offs are answered.
-    fn usual_time(&self) -> Ms {
-        PATIENCE_TIMES * (self.wait + self.base)
+    /// A time after which most hand-offs like this are answered.
+    fn usual_time(&self, out: &Out) -> Ms {
+        LOST_TIMES * (self.wait + out.own)
     }
 
     fn patience(&self, out: &Out) -> Ms {
-        out.patience.max(self.usual_time())
+        out.patience.max(PATIENCE_TIMES * (self.wait + self.base))
     }
 
     fn overdue(&self, now: Ms, out: &Out, since: Ms) -> bool {
@@ -248,6 +268,8 @@
 /// these, what the shortest soft limit leaves beside it, and the floor of the window in a jam.
 struct Bounds {
     jam_floor: f64,
+    lossy: f64,
+    enough: u32,
     typical: Vec<Ms>,
     best: Ms,
     room: Ms,
@@ -295,6 +317,7 @@
     keys: Keys,
     stores: BTreeMap<usize, Store>,
     dues: BTreeMap<usize, Store>,
+    used: BTreeMap<usize, f64>,
     /// By band and plan: the longest time limit met, how many commands had it lately and how many any.
     limits: Vec<(Ms, f64, f64)>,
     /// Commands that failed lately.
@@ -313,7 +336,7 @@
     tell_at: Ms,
     telling: bool,
     /// By peer: when it last told, and what it had out where.
-    peers: Vec<(Ms, Vec<(usize, f64)>)>,
+    peers: Vec<(Ms, Vec<(usize, f64, bool)>)>,
     forget_at: Ms,
     hears: bool,
     /// The shortest of all bands.
@@ -345,6 +368,7 @@
             keys: Keys::default(),
             stores: BTreeMap::new(),
             dues: BTreeMap::new(),
+            used: BTreeMap::new(),
             limits: vec![(0.0, 0.0, 0.0); bands * plans.max(1)],
             tries: Failures::default(),
             usual: BTreeMap::new(),
@@ -353,6 +377,8 @@
             ask_at: start.ask_within.map(|_| now),
             ask_rest: FIRST_REST,
             bounds: Bounds {
+                lossy: 0.0,
+                enough: PASSED,
                 jam_floor: ((if start.peer.is_some() { PEER_FLOOR } else { FLOOR }) / start.hosts).min(1.0),
                 typical: vec![0.0; bands],
                 best: 0.0,
@@ -399,6 +425,9 @@
         let (Stage::Out(node) | Stage::Over(node)) = h.stage else { return Next::Nothing };
         let ended = answer.over || matches!(h.stage, Stage::Over(_));
         let units = h.cmd.units;
+        if let Some(used) = answer.used {
+            self.used.insert(h.cmd.volume, used);
+        }
         if let Some(due) = self.dues.get_mut(&h.cmd.volume) {
             due.units = (due.units - answer.others).max(0.0);
         }
@@ -487,15 +516,15 @@
         self.tell_at = now + TELL_EVERY;
         let out = |n: &Node| n.places() as u32;
         let mut told: BTreeMap<usize, Told> = BTreeMap::new();
-        for n in self.nodes.iter().flatten().filter(|n| !n.out.is_empty()) {
-            let node = n.entry.node;
-            told.insert(node, Told { node, out: out(n), answers: 0, wait: 0.0 });
+        for n in self.nodes.iter().flatten().filter(|n| !n.out.is_empty() || !n.line.is_empty()) {
+            let (node, waits) = (n.entry.node, !n.line.is_empty());
+            told.insert(node, Told { node, out: out(n), waits, answers: 0, wait: 0.0 });
         }
         for (node, (answers, all)) in std::mem::take(&mut self.gathered) {
-            let t = told.entry(node).or_insert(Told { node, out: 0, answers, wait: 0.0 });
+            let t = told.entry(node).or_insert(Told { node, out: 0, waits: false, answers, wait: 0.0 });
             (t.answers, t.wait) = (answers, all / f64::from(answers));
         }
-        self.telling = told.values().any(|t| t.out > 0);
+        self.telling = told.values().any(|t| t.out > 0 || t.waits);
         let hosts = self.start.hosts as usize;
         let mut to: Vec<usize> = (0..hosts).filter(|&other| other != peer).collect();
         while to.len() > TOLD {
@@ -517,6 +546,7 @@
         for t in told {
             let Some(Some(n)) = self.nodes.get_mut(t.node) else { continue };
             n.others += f64::from(t.out);
+            n.rivals += usize::from(t.waits);
             let crowded = n.places() + n.others >= n.window - 1.0;
             // An answer that comes was sent a wait before: what left here earlier has been passed by it.
             let sent = now - t.wait - n.base - TELL_EVERY;
@@ -529,12 +559,13 @@
             self.touch(t.node);
             self.set_late(Some(shard));
         }
-        self.peers[from] = (now, told.iter().map(|t| (t.node, f64::from(t.out))).collect());
+        self.peers[from] = (now, told.iter().map(|t| (t.node, f64::from(t.out), t.waits)).collect());
     }
 
     fn forget_peer(&mut self, from: usize) {
-        for (node, out) in std::mem::take(&mut self.peers[from].1) {
+        for (node, out, waits) in std::mem::take(&mut self.peers[from].1) {
             if let Some(Some(n)) = self.nodes.get_mut(node) {
+                n.rivals = n.rivals.saturating_sub(usize::from(waits));
                 n.others = (n.others - out).max(0.0);
                 self.touch(node);
             }
@@ -581,7 +612,7 @@
             let Some(n) = &mut self.nodes[node] else { continue };
             let silent = n.silent(now);
             let lost = |n: &Node, o: &Out| {
-                silent && n.overdue(now, o, o.at) || o.passed >= PASSED && now - o.at > n.usual_time()
+                silent && n.overdue(now, o, o.at) || o.passed >= n.enough && now - o.at > n.usual_time(o)
             };
             let due = n.out.iter().position(|o| !o.cancelled && lost(n, o));
             if let Some(o) = due.map(|i| &mut n.out[i]) {
@@ -603,7 +634,7 @@
             _ = if is { set.insert(node) } else { set.remove(&node) };
         }
         let open =
-            n.into_iter().flat_map(|n| n.out.iter().filter(|o| !o.cancelled).map(|o| o.at + n.usual_time()));
+            n.into_iter().flat_map(|n| n.out.iter().filter(|o| !o.cancelled).map(|o| o.at + n.usual_time(o)));
         self.checks.set(node, open.min_by(f64::total_cmp));
     }
 
@@ -673,6 +704,7 @@
                 soft_limit: self.soft_limit,
                 served: Ring::new(SLOT, SLOTS),
                 rest: FIRST_REST,
+                enough: PASSED,
                 hears: self.hears,
                 ..Node::default()
             });
@@ -898,7 +930,10 @@
 
     /// Whether the volume's reserve still covers a command, as far as this host knows; takes it if so.
     fn within_reserve(&mut self, now: Ms, cmd: &Command) -> bool {
-        let reserve = self.start.plans[cmd.plan].reserve;
+        let plan = &self.start.plans[cmd.plan];
+        let used = self.used.get(&cmd.volume).copied().unwrap_or(f64::INFINITY);
+        let alone = self.start.counts_others || used * plan.rate <= plan.reserve;
+        let reserve = plan.reserve / if alone { 1.0 } else { cmd.hosts.sqrt() };
         let due = self.dues.entry(cmd.volume).or_insert(Store { units: reserve, filled: now, drawn: 0.0 });
         due.fill(now, reserve, reserve + self.start.most_units);
         let within = due.units >= cmd.units && reserve > 0.0;
@@ -931,6 +966,10 @@
         if let Some(frame) = tag.marked() {
             *n.counters.entry(frame).or_insert(0) += 1;
         }
+        if n.line.is_empty() && n.rivals > 0 {
+            n.sent = n.sent.max(now);
+            n.turn = 2.0 * self.chance.generate::<u32>() as f64 / u32::MAX as f64;
+        }
         n.line.insert((rank(tag.finish), turn, id));
         self.sleep(id);
         if let Some(Some(h)) = self.held.get_mut(id) {
@@ -1035,6 +1074,7 @@
             (flow.lined, flow.seen) = (flow.lined - 1, now);
         }
         n.sent = now;
+        n.turn = 2.0 * self.chance.generate::<u32>() as f64 / u32::MAX as f64;
         n.potential += h.cmd.units / n.frame_units;
         n.unmark(&h.tag);
         let reached = h.tag.finish.floor() as i64;
@@ -1047,7 +1087,8 @@
         let patience = self.start.bands[h.cmd.band].soft_limit;
         self.batches += u64::from(!rides);
         let (batch, load) = (self.batches, h.cmd.units);
-        n.out.push(Out { batch, load, id, hand_off, at: now, patience, passed: 0, cancelled: false });
+        let own = self.bounds.typical[h.cmd.band] * (1.0 + load / self.start.mean_units) / 2.0;
+        n.out.push(Out { batch, load, id, hand_off, at: now, patience, own, passed: 0, cancelled: false });
         n.credit -= h.cmd.units;
         if h.hand_offs > 0 {
             self.further.add(now, 1.0);
@@ -1097,7 +1138,11 @@
         let silent = n.silent(now);
         let Some(place) = n.out.iter().position(|o| o.id == id) else { return };
         let band = self.held[id].as_ref().map_or(0, |h| h.cmd.band);
-        let (load, failing, shard) = (n.out.remove(place).load, n.rest > FIRST_REST, n.entry.shard);
+        let out = n.out.remove(place);
+        let (load, failing, shard) = (out.load, n.rest > FIRST_REST, n.entry.shard);
+        let lost = f64::from(out.passed >= n.enough && answer.outcome != Outcome::Settled && out.at > 0.0);
+        self.bounds.lossy += LOSS * (lost - self.bounds.lossy);
+        self.bounds.enough = if self.bounds.lossy > LOSSY { DOUBTED } else { PASSED };
         match answer.outcome {
             Outcome::Settled => {
                 n.served.add(now, units);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -87,6 +87,8 @@
     pub most_together: f64,
     /// The part of the payoff that units beyond the reserve earn within the volume's share.
     pub share_payoff: f64,
+    /// Answers tell what shards served for a volume through other hosts.
+    pub counts_others: bool,
     /// Set where hosts may send each other messages: this host's number, counted from 0.
     pub peer: Option<usize>,
 }
@@ -181,6 +183,8 @@
     pub node: usize,
     /// What it has out there.
     pub out: u32,
+    /// Whether commands wait for it there.
+    pub waits: bool,
     pub answers: u32,
     pub wait: Ms,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -51,6 +51,7 @@
         mean_units: 2.0,
         most_together: 8.0,
         share_payoff: 0.3,
+        counts_others: true,
         peer: None,
     }
 }
