--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -3,8 +3,9 @@
 
 use crate::contact::{Contact, Dial, Greeted, Process, Return};
 use crate::follow::{address, started, Follower};
+use crate::others::Others;
 use crate::sheet::{Bounds, HostSheet};
-use magpiewick::{Ending, Ms, Outcome};
+use magpiewick::{Ending, Ms, Outcome, Told};
 use magpiewick_desk::{Part, Reason, Taken, World};
 use magpiewick_link::{Clock, Connection, Ended, Poll, Timers, NOTHING};
 use magpiewick_merge::{Company, Gate, Gather, Piece, Write};
@@ -22,9 +23,10 @@
     Client,
     Node,
     List,
+    Others,
 }
 
-const PLACES: [Place; 5] = [Place::Door, Place::Stop, Place::Client, Place::Node, Place::List];
+const PLACES: [Place; 6] = [Place::Door, Place::Stop, Place::Client, Place::Node, Place::List, Place::Others];
 /// Bits of a key below its place, and bits of a command's id that name its slot.
 const INDEX: u32 = 32;
 const SLOT: u32 = 24;
@@ -211,6 +213,8 @@
     opens: Slab<Open>,
     serial: u64,
     list: ListLink,
+    /// Where the settings name other hosts.
+    pub others: Option<Others>,
     touched: Vec<usize>,
 }
 
@@ -243,6 +247,7 @@
             opens: Slab::new(),
             serial: 0,
             list: ListLink { address, asked, map, connection: None, back },
+            others: None,
             touched: Vec::new(),
         }
     }
@@ -279,7 +284,7 @@
             Place::Client => self.clients.get_mut(index).map(|c| &mut c.connection),
             Place::Node => self.peers.get_mut(index).and_then(|p| p.connection.as_mut()),
             Place::List => self.list.connection.as_mut(),
-            Place::Door | Place::Stop => None,
+            Place::Door | Place::Stop | Place::Others => None,
         }
     }
 
@@ -961,6 +966,10 @@
         self.release(command);
     }
 
+    fn tell(&mut self, to: &[usize], told: &[(u16, Told)]) {
+        self.others.iter().for_each(|others| others.tell(to, told));
+    }
+
     fn probe(&mut self, node: u32) {
         let index = self.peer(node);
         let peer = &mut self.peers[index];
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod contact;
 mod floor;
 pub mod follow;
+mod others;
 mod route;
 pub mod sheet;
 mod stood;
@@ -23,6 +24,7 @@
     self as wire, Code, Final, Frames, Hello, List, MapNews, Message, Read, Role, Take, Verdict,
     MOST_PAYLOAD, VERSION,
 };
+use others::Others;
 use sheet::HostSheet;
 use std::io::{self, ErrorKind, Read as _};
 use std::net::{SocketAddr, TcpListener};
@@ -60,18 +62,24 @@
 impl Gateway {
     /// Binds the listener. A byte on `stop` asks the host to stop, a second one to end at once; `life` names
     /// this start of the process and must differ from all others.
-    pub fn bind(sheet: HostSheet, stop: UnixStream, life: u64) -> io::Result<Gateway> {
+    pub fn bind(mut sheet: HostSheet, stop: UnixStream, life: u64) -> io::Result<Gateway> {
         let clock = Clock::start();
         let poll = Poll::new()?;
         let listener = magpiewick_link::listen(sheet.listen)?;
         let address = listener.local_addr()?;
         stop.set_nonblocking(true)?;
         let now = clock.now();
+        let mut floor = Floor::new(&sheet, poll.clone(), clock, life);
+        if !sheet.peers.is_empty() {
+            let own = sheet.number as usize;
+            floor.others = Some(Others::bind(own, std::mem::take(&mut sheet.peers), &poll)?);
+            sheet.start.peer = Some(own);
+        }
         Ok(Gateway {
             desk: Desk::new(sheet.start.clone(), now),
             listener: Some(poll.register(listener, key_of(Place::Door, 0))?),
             stop: poll.register(stop, key_of(Place::Stop, 0))?,
-            floor: Floor::new(&sheet, poll, clock, life),
+            floor,
             stops: 0,
             ends_by: None,
             address,
@@ -129,6 +137,7 @@
         let of = |place: Place| woken.readable.iter().copied().filter(move |key| place_of(*key) == place);
         of(Place::List).for_each(|key| self.list_readable(key));
         of(Place::Node).for_each(|key| self.node_readable(key));
+        of(Place::Others).for_each(|_| self.others_readable());
         self.timers();
         of(Place::Client).for_each(|key| self.client_readable(key));
         of(Place::Door).for_each(|_| self.accept());
@@ -266,6 +275,13 @@
         }
     }
 
+    fn others_readable(&mut self) {
+        let mut turn = 0;
+        while let Some((from, told)) = self.floor.others.as_mut().and_then(|others| others.next(&mut turn)) {
+            self.desk.heard(self.floor.now, from, &told);
+        }
+    }
+
     // The list of nodes.
 
     fn recall(&mut self) {
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -64,6 +64,8 @@
     pub start: Start,
     pub bands: Vec<String>,
     pub volumes: BTreeMap<u64, Volume>,
+    /// By number, where hosts may tell each other what they see of nodes; this host is among them.
+    pub peers: BTreeMap<usize, SocketAddr>,
     pub bounds: Bounds,
     pub log: LogSheet,
     /// What travels together; one part where merging is off.
@@ -138,7 +140,7 @@
         mean_units: mean,
         most_together: units,
         share_payoff: part.field("share_payoff").part_or(0.35),
-        counts_others: true,
+        counts_others: part.field("counts_others").flag_or(true),
         peer: None,
     };
     if let Some(p) = root.part("cold") {
@@ -172,6 +174,7 @@
         start,
         bands: band_names,
         volumes,
+        peers: peers(root, hosts as usize),
         bounds,
         log,
         merge,
@@ -309,6 +312,27 @@
     volumes
 }
 
+/// The hosts that tell each other; all of them state each other in the same words, so each can be given the same
+/// file. Which of them this one is stands in its number, which may be given at its start.
+fn peers(root: &Part, hosts: usize) -> BTreeMap<usize, SocketAddr> {
+    let mut peers = BTreeMap::new();
+    for p in root.labelled("peer") {
+        let number: Option<usize> = p.label().parse().ok().filter(|number| *number < hosts);
+        let Some(address) = p.field("address").address() else { continue };
+        if address.port() == 0 {
+            p.fault_at("address", "an address without a port; expected one that other hosts can send to");
+        }
+        if peers.values().any(|other| *other == address) {
+            p.fault_at("address", format!("a second peer at {address}"));
+        }
+        match number {
+            Some(number) if number.to_string() == p.label() => _ = peers.insert(number, address),
+            _ => p.fault(format!("a peer {:?}; expected a host's number, 0 to {}", p.label(), hosts - 1)),
+        }
+    }
+    peers
+}
+
 fn cold(p: &Part, start: &mut Start) {
     start.cold_share = p.field("share").part_or(1.0);
     start.cold_time = p.field("time").time();
@@ -360,3 +384,40 @@
         commands: p.field("commands").flag_or(false),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(more: &str) -> Result<HostSheet, String> {
+        let text = format!(
+            "host {{\n  hosts = 2\n}}\nband \"read\" {{\n  soft_limit = \"1s\"\n  time_limit = \"2s\"\n  \
+             repeats = \"retriable\"\n}}\nplan \"all\" {{\n  rate = 10\n}}\n{more}"
+        );
+        let read = magpiewick_settings::read_text("f", &text, |r| host(r, 1));
+        read.map(|sheet| sheet.unwrap()).map_err(|faults| faults.to_string())
+    }
+
+    #[test]
+    fn peers_are_numbers_below_the_hosts_each_at_an_address_of_its_own() {
+        let peer = |label: &str, at: &str| format!("peer \"{label}\" {{\n  address = \"{at}\"\n}}\n");
+        assert!(read("").unwrap().peers.is_empty());
+        let both = [peer("0", "127.0.0.1:7500"), peer("1", "127.0.0.1:7501")].concat();
+        assert_eq!(read(&both).unwrap().peers.into_keys().collect::<Vec<_>>(), [0, 1]);
+        let faults = [
+            (peer("2", "127.0.0.1:7500"), "f:12:", "expected a host's number, 0 to 1"),
+            (peer("01", "127.0.0.1:7500"), "f:12:", "expected a host's number, 0 to 1"),
+            (peer("0", "127.0.0.1:0"), "f:13:", "expected one that other hosts can send to"),
+            (peer("0", "here"), "f:13:", "expected an address and port"),
+            (
+                [peer("0", "127.0.0.1:7500"), peer("1", "127.0.0.1:7500")].concat(),
+                "f:16:",
+                "a second peer at",
+            ),
+        ];
+        for (more, place, expected) in faults {
+            let said = read(&more).unwrap_err();
+            assert!(said.contains(place) && said.contains(expected), "{said}");
+        }
+    }
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -5,7 +5,7 @@
 use magpiewick_nodewire::*;
 use magpiewick_settings::read_text;
 use std::io::{Read as _, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -130,9 +130,16 @@
 impl Rig {
     /// A host that has heard of one node, of the life 1, which started so long ago.
     fn start(age_us: u64) -> Rig {
+        let mut rig = Rig::unheard(TcpListener::bind("127.0.0.1:0").unwrap(), |_| ());
+        rig.tell(true, 1, State::Ready, 1, age_us);
+        rig
+    }
+
+    /// A host that the list has told nothing yet, with other settings.
+    fn unheard(node: TcpListener, change: impl FnOnce(&mut HostSheet)) -> Rig {
         let list = TcpListener::bind("127.0.0.1:0").unwrap();
-        let node = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut sheet: HostSheet = read_text("test", SETTINGS, |r| host(r, 1)).unwrap().unwrap();
+        change(&mut sheet);
         (sheet.list.address, sheet.list.map) = (list.local_addr().unwrap(), true);
         let (stop, other) = UnixStream::pair().unwrap();
         let gateway = Gateway::bind(sheet, other, 99).unwrap();
@@ -140,9 +147,7 @@
         let host = std::thread::spawn(move || gateway.run().unwrap());
         let mut list = End::new(list.accept().unwrap().0);
         list.hear(|m| matches!(m, Message::Watch { .. }).then_some(()));
-        let mut rig = Rig { address, list, node, stop, host };
-        rig.tell(true, 1, State::Ready, 1, age_us);
-        rig
+        Rig { address, list, node, stop, host }
     }
 
     fn tell(&mut self, whole: bool, epoch: u64, state: State, life: u64, age_us: u64) {
@@ -400,6 +405,89 @@
     rig.end();
 }
 
+/// A free port of this machine, and a socket of another host that knows it.
+fn two_hosts() -> (SocketAddr, UdpSocket) {
+    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+    other.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    (UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap(), other)
+}
+
+/// Settings of a host that tells the other.
+fn tells(sheet: &mut HostSheet, own: SocketAddr, other: &UdpSocket) {
+    sheet.start.hosts = 2.0;
+    sheet.peers = [(0, own), (1, other.local_addr().unwrap())].into();
+}
+
+#[test]
+fn a_host_hears_what_others_have_out_and_passes_over_what_it_cannot_read() {
+    let (own, other) = two_hosts();
+    let mut rig = Rig::unheard(TcpListener::bind("127.0.0.1:0").unwrap(), |sheet| tells(sheet, own, &other));
+    rig.tell(true, 1, State::Ready, 1, LONG_AGO);
+    let mut client = rig.client();
+    client.take(1, 0, &[]);
+    let mut node = rig.greeted();
+    let first = node.hand_off().unwrap();
+    let mut bytes = [0; 300];
+    let word = loop {
+        let length = other.recv(&mut bytes).unwrap();
+        let told = magpiewick_peers::read(&bytes[..length]).unwrap();
+        if let Some((tag, said)) = told.first() {
+            assert_eq!((told.len(), said.out), (1, 1));
+            break (*tag, magpiewick::Told { out: 7, waits: true, ..*said });
+        }
+    };
+    // Of no length, of an odd one, too long, from a build to come; and what would count, from nobody it knows.
+    let crowd: Vec<u8> = magpiewick_peers::written(&[word]).flatten().collect();
+    for bad in [&[][..], &crowd[..4], &[1; 300], &[2, 0, 0, 0, 0]] {
+        other.send_to(bad, own).unwrap();
+    }
+    UdpSocket::bind("127.0.0.1:0").unwrap().send_to(&crowd, own).unwrap();
+    client.take(2, 0, &[]);
+    let second = node.hand_off().unwrap();
+    // Seven places that another host has taken are more than the window: the next waits until that is old.
+    other.send_to(&crowd, own).unwrap();
+    let began = std::time::Instant::now();
+    std::thread::sleep(Duration::from_millis(20));
+    client.take(3, 0, &[]);
+    let third = node.hand_off().unwrap();
+    assert!(began.elapsed() >= Duration::from_millis(200), "{:?}", began.elapsed());
+    for out in [first, second, third] {
+        node.settle(out, b"done");
+        assert_eq!(client.answer().map(|a| a.1), Some(Verdict::Settled));
+    }
+    rig.end();
+}
+
+#[test]
+fn a_host_that_takes_over_serves_from_the_kept_list_though_old_builds_still_talk() {
+    let (own, other) = two_hosts();
+    let kept = std::env::temp_dir().join(format!("magpiewick-kept-{}", std::process::id()));
+    let remember = |sheet: &mut HostSheet| sheet.list.remember = Some(kept.clone());
+    let mut before = Rig::unheard(TcpListener::bind("127.0.0.1:0").unwrap(), remember);
+    before.tell(true, 1, State::Ready, 1, LONG_AGO);
+    let mut client = before.client();
+    client.take(1, 0, &[]);
+    let mut node = before.greeted();
+    let out = node.hand_off().unwrap();
+    node.settle(out, &[]);
+    client.answer();
+    let listener = before.node.try_clone().unwrap();
+    assert_eq!(before.end(), HostEnd::Stopped);
+    let after = Rig::unheard(listener, |sheet| {
+        remember(sheet);
+        tells(sheet, own, &other);
+    });
+    other.send_to(&[0, 1, 2, 3], own).unwrap();
+    let mut client = after.client();
+    client.take(1, 0, &[]);
+    let mut node = after.greeted();
+    let out = node.hand_off().unwrap();
+    node.settle(out, b"at once");
+    assert_eq!(client.answer(), Some((1, Verdict::Settled, "at once".to_string())));
+    after.end();
+    std::fs::remove_file(kept).unwrap();
+}
+
 impl End {
     fn batch(&mut self) -> Option<Vec<(u64, u16)>> {
         self.hear(|m| match m {
--- a/drills/bad-day.hcl
+++ b/drills/bad-day.hcl
@@ -14,6 +14,17 @@
   ask_within = "4s"
 }
 
+# The hosts tell each other what they have out; their messages meet hosts that are killed or stand still.
+peer "0" {
+  address = "127.0.0.1:7610"
+}
+peer "1" {
+  address = "127.0.0.1:7611"
+}
+peer "2" {
+  address = "127.0.0.1:7612"
+}
+
 log {
   level = "error"
 }
