Find a long neighbour that starts below a short one that is too far

Cause: crates/merge's test a_neighbour_that_fits_is_found failed in one run of a hundred, with sets as (0,1,255), (125,0,191), (0,0,151): the search for company below looked at the nearest start only and ended there when that write's end was out of reach, though a longer one that starts further below reached up to the leader.

--- a/crates/merge/src/company.rs
+++ b/crates/merge/src/company.rs
@@ -125,10 +125,10 @@
             let (shard, volume, band) = forming.row;
             let first: Spot = (shard, volume, band, 0, 0);
             let last: Spot = (shard, volume, band, u64::MAX, u64::MAX);
-            let below = self.spots.range(first..forming.below).next_back().copied();
-            // Nothing is held beyond its own end: a range that starts below may reach up to here.
+            // A range that starts far below may reach up to here past short ones that start nearer.
             let gap = |s: &Spot| forming.low.saturating_sub(self.held[&s.4].end);
-            let below = below.map(|s| (gap(&s), s)).filter(|b| b.0 <= self.bounds.reach);
+            let below = self.spots.range(first..forming.below).rev().take(LOOKS * self.bounds.parts);
+            let below = below.map(|s| (gap(s), *s)).find(|b| b.0 <= self.bounds.reach);
             let above = (std::ops::Bound::Excluded(forming.above), std::ops::Bound::Included(last));
             let above = self.spots.range(above).next().copied();
             let above = above.map(|s| (s.3.saturating_sub(forming.high), s));
