--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,8 +10,9 @@
 /// The window of hand-offs out at one node: the design's floor and start, and its ceiling.
 const FLOOR: f64 = 4.0;
 const CEILING: f64 = 32.0;
-/// Departures while a node answers slower than these parts of the shortest soft limit: the window falls to
-/// one, and on until all hosts' windows together are at the floor. Under one it widens by this and doubles.
+/// Departures for hosts that hear nothing of others, while the wait at a node is over these parts of what the
+/// shortest soft limit leaves: the window falls to one, and on until all hosts' windows together are at the
+/// floor. Under one it widens by this and doubles.
 const TIGHT: f64 = 0.1;
 const JAMMED: f64 = 0.2;
 const JAM_STEP: f64 = 0.05;
@@ -22,7 +23,7 @@
 const SPARED: f64 = 2.0;
 /// How much more than its payoff a volume's reserve counts.
 const IN_RESERVE: f64 = 4.0;
-/// Latency over its recent best at which the window widens and narrows, and the step of narrowing.
+/// Waits, in typical latencies of the fastest band, at which the window widens and narrows, and by how much.
 const NEAR_BEST: f64 = 0.5;
 const FAR_FROM_BEST: f64 = 1.5;
 const NARROWING: f64 = 0.1;
@@ -30,13 +31,14 @@
 const SMOOTHING: f64 = 0.15;
 const MOST_SMOOTHING: f64 = 0.5;
 const STALE: Ms = 1000.0;
-/// Buckets for a node's latencies (the recent best is the lowest mean of three or more) and settled units.
+/// Buckets for a band's latencies (typical is the lowest mean of three or more) and a node's settled units.
 const SLOT: Ms = 1000.0;
 const SLOTS: usize = 12;
 /// A volume counts into the weights at a node for this long after its last command there.
 const SEEN: Ms = 2000.0;
-/// A node that answers nothing for a soft limit, and for this multiple of its latency, is silent; a hand-off
-/// out as long that this many later ones have passed is lost.
+/// A node that answers nothing for a soft limit, and for this multiple of its latency, is silent. A hand-off
+/// that this many later answers have passed takes no place, fewer where more than this part proves lost, and
+/// is lost when it is out for this multiple of its usual time.
 const PATIENCE_TIMES: f64 = 4.0;
 const PASSED: u32 = 8;
 const DOUBTED: u32 = 4;
@@ -82,8 +84,8 @@
         self.places() + self.others >= self.window - 1.0
     }
 
-    /// How long a hand-off that is sent now is to wait. A queue that nobody adds to drains a millisecond each
-    /// millisecond, so a wait counts less once no answer was heard of for as long.
+    /// How long a hand-off that is sent now is to wait: no more than what is out there takes, where hosts
+    /// hear of all of it. Guards against an old jam that rules until the next answer.
     fn expected(&self) -> Ms {
         if self.hears {
             return self.wait.min((self.places() + self.others) * self.base);
