Take back the sessions by weight: writes that travel together paid for them

A volume's writes, charged for whole batches in a session of their own, wait behind its reads that pay less, so fewer and smaller batches leave.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -728,8 +728,7 @@
         let Some(n) = &mut self.nodes[node] else { return };
         n.reset_if_idle();
         let fresh = Flow { last_finish: 0.0, weight, seen: now, lined: 0 };
-        let rate = rank(weight);
-        let flow = n.flows.entry((cmd.volume, rate)).or_insert(fresh);
+        let flow = n.flows.entry((cmd.volume, reserved)).or_insert(fresh);
         flow.seen = now;
         flow.lined += 1;
         let p = n.potential;
@@ -737,9 +736,9 @@
         let all: f64 = n.flows.values().map(|f| f.weight).sum();
         n.frame_units = self.start.most_together * all / self.least;
         let length = units * all / (n.frame_units * weight);
-        let Some(flow) = n.flows.get_mut(&(cmd.volume, rate)) else { return };
+        let Some(flow) = n.flows.get_mut(&(cmd.volume, reserved)) else { return };
         let start = flow.last_finish.max(p);
-        let tag = Tag { start, finish: start + length, rate, reserved };
+        let tag = Tag { start, finish: start + length, reserved };
         flow.last_finish = tag.finish;
         if let Some(frame) = tag.marked() {
             *n.counters.entry(frame).or_insert(0) += 1;
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -20,8 +20,6 @@
 pub struct Tag {
     pub start: f64,
     pub finish: f64,
-    /// The rank of the weight that it was given by.
-    pub rate: i64,
     pub reserved: bool,
 }
 
@@ -76,8 +74,7 @@
     pub entry: Entry,
     /// By finish tag and turn.
     pub line: BTreeSet<(i64, u64, usize)>,
-    /// By volume and rank of weight.
-    pub flows: BTreeMap<(usize, i64), Flow>,
+    pub flows: BTreeMap<(usize, bool), Flow>,
     pub potential: f64,
     pub frame: i64,
     pub counters: BTreeMap<i64, u32>,
@@ -115,7 +112,7 @@
         if let Some(count) = h.tag.marked().and_then(|frame| self.counters.get_mut(&frame)) {
             *count = count.saturating_sub(1);
         }
-        let flow = self.flows.get_mut(&(h.cmd.volume, h.tag.rate))?;
+        let flow = self.flows.get_mut(&(h.cmd.volume, h.tag.reserved))?;
         flow.lined -= 1;
         Some(flow)
     }
