Let the first silent hand-off close a node again for hosts that hear nothing of others

Change (judge): two silent hand-offs in a row are asked for only where hosts hear each other, as there one host's own answers come seconds apart while others tell of theirs; a host that hears nothing has no better sign than the first. Also guards hosts whose messages get lost; it could harm such hosts where a node answers each only every few seconds.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -935,10 +935,11 @@
             Outcome::Full | Outcome::NoConnection | Outcome::Reset => {
                 n.set_back(now, self.bounds.jam_floor, 0.5)
             }
-            // A node that answered nothing until then is tried again with one command at a time.
+            // A node that answered nothing until then is tried again with one command at a time. Where others
+            // tell of its answers, one of its own is no sign: it may be the only one in seconds.
             Outcome::TimedOut | Outcome::Cancelled if silent => {
                 n.mute += 1;
-                if n.mute >= 2 {
+                if n.mute >= 2 || !n.hears {
                     n.set_back(now, self.bounds.jam_floor, 0.0);
                 }
             }
