Let a host where nothing waits tell others half as often

Change (tell): 200 ms to the next word where no command waits here, 100 ms else. It could harm where commands begin to wait at many hosts at once: they learn of each other up to 100 ms later.

The new test fails without the change (ten words in a second).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,8 +53,10 @@
 /// tries, and how much of what was counted stays with each command.
 const USUAL: f64 = 0.1;
 const RECENT: f64 = 0.995;
-/// How often a host tells others what it saw, how many of them at most, and for how many turns that counts.
+/// How often a host tells others what it saw, and how many times as rarely while nothing waits here, as what
+/// it tells costs more then than it is worth; how many it tells at most, and for how many turns that counts.
 const TELL_EVERY: Ms = 100.0;
+const CALM: f64 = 2.0;
 const TOLD: usize = 48;
 const KEPT: f64 = 2.5;
 /// Parts into which the windows of the rules are cut; a window counts one part more, to the safe side.
@@ -336,7 +338,6 @@
 
     /// Tells some peers, by chance, what this host has out at each node and what came in since the last time.
     fn tell(&mut self, now: Ms, peer: usize) -> Due {
-        self.tell_at = now + TELL_EVERY;
         let nodes = self.peers.lapse(now - KEPT * TELL_EVERY * (self.start.hosts / TOLD as f64).max(1.0));
         self.set_others(&nodes);
         let mut gathered = std::mem::take(&mut self.gathered);
@@ -353,6 +354,8 @@
             to.swap_remove(out);
         }
         self.telling = !told.is_empty();
+        let calm = told.iter().all(|t| !t.waits);
+        self.tell_at = now + TELL_EVERY * if calm { CALM } else { 1.0 };
         Due::Tell { to, told }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -343,6 +343,20 @@
     assert_eq!(sends(&w, id), 1, "an old word holds it back");
 }
 
+#[test]
+fn a_host_where_nothing_waits_tells_half_as_often() {
+    let words = |waiting: usize| {
+        let mut s = Start { peer: Some(0), ..start() };
+        s.bands[0].soft_limit = 3000.0;
+        let mut w = World::new(s);
+        (0..4 + waiting).for_each(|_| _ = w.take(Command { units: 4.0, ..in_volume(2) }));
+        w.pass(1000.0);
+        w.told_others.len()
+    };
+    let (calm, busy) = (words(0), words(4));
+    assert!((4..7).contains(&calm) && busy > 8, "{calm} and {busy} words in a second");
+}
+
 #[test]
 fn hosts_that_wait_for_the_same_node_do_not_take_its_free_place_together() {
     let left = |rivals: usize| {
