Learn what is typical of a band from commands that left alone

Change (judge): only commands that left alone count into the typical latency. It could harm where all leave together: then a quarter of the soft limit stands in.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -347,8 +347,7 @@
             Told { node, out, waits, answers, wait: all / f64::from(answers.max(1)) }
         });
         let told: Vec<Told> = told.filter(|t| t.out + t.answers > 0 || t.waits).collect();
-        let hosts = self.start.hosts as usize;
-        let mut to: Vec<usize> = (0..hosts).filter(|&other| other != peer).collect();
+        let mut to: Vec<usize> = (0..self.start.hosts as usize).filter(|&other| other != peer).collect();
         while to.len() > TOLD {
             let out = self.chance.below(to.len());
             to.swap_remove(out);
@@ -919,7 +918,10 @@
             Outcome::Settled => {
                 n.served.add(now, units);
                 let size = (1.0 + load / self.start.mean_units) / 2.0;
-                self.typical[band].add(now, answer.latency / size);
+                // What travels together takes less than its size: it would make all else look slow.
+                if load <= units {
+                    self.typical[band].add(now, answer.latency / size);
+                }
                 let most = UNLOADED * self.start.bands[band].soft_limit;
                 let typical = self.typical[band].lowest_mean(now).unwrap_or(most).min(most);
                 let b = &mut self.bounds;
