--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,8 +53,7 @@
 /// tries, and how much of what was counted stays with each command.
 const USUAL: f64 = 0.1;
 const RECENT: f64 = 0.995;
-/// How often a host tells others what it saw, and how many times as rarely while nothing waits here, as what
-/// it tells costs more then than it is worth; how many it tells at most, and for how many turns that counts.
+/// How often a host tells others, how much more rarely while nothing waits, how many, for how many turns.
 const TELL_EVERY: Ms = 100.0;
 const CALM: f64 = 2.0;
 const TOLD: usize = 48;
@@ -918,9 +917,10 @@
             Outcome::Settled => {
                 n.served.add(now, units);
                 let size = (1.0 + load / self.start.mean_units) / 2.0;
-                // What travels together takes less than its size: it would make all else look slow.
-                if load <= units {
-                    self.typical[band].add(now, answer.latency / size);
+                // What travels together takes less than its size: it must not make all else look slow.
+                let (each, known) = (answer.latency / size, self.bounds.typical[band]);
+                if load <= units || known > 0.0 && each > known {
+                    self.typical[band].add(now, each);
                 }
                 let most = UNLOADED * self.start.bands[band].soft_limit;
                 let typical = self.typical[band].lowest_mean(now).unwrap_or(most).min(most);
