--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -1,9 +1,9 @@
 //! One instance on the bench's wire: the desk, and what writes the desk's wishes as the wire's actions.
 
-use crate::facts::NS_PER_MS;
 use crate::wire::Reply;
 use magpiewick::{Answer, Ending, Entry, Ms, News, Start, Told};
 use magpiewick_desk::{Desk, Part, Reason, Taken, World};
+use magpiewick_facts::NS_PER_MS;
 
 pub struct Host {
     number: u32,
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,12 +1,12 @@
 //! The bench's wire in front of the decision module: frames in, calls on the module, frames out.
 
-mod facts;
 mod host;
 mod wire;
 
 use host::{ms, Host};
 use magpiewick::{Answer, Command, Condition, Entry, News, Outcome};
 use magpiewick_desk::Taken;
+use magpiewick_facts::Facts;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use wire::{Fault, Fields, Reply};
@@ -101,7 +101,7 @@
             let length = f.u32("the settings' length")? as usize;
             let text = f.take(length, "the settings")?;
             let text = std::str::from_utf8(text).map_err(|_| f.fault("the settings are not text"))?;
-            let start = facts::start(seed, text)?;
+            let start = Facts::pairs(text)?.start(seed)?;
             let (bands, plans) = (start.bands.len(), start.plans.len());
             self.hosts.insert(number, Instance { host: Host::new(number, start, now), bands, plans });
             return Ok(());
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use magpiewick_drill::{bench, bench_reads, drill, load, relay, Drilled, Planted, Rule, Said, Sheet};
+use magpiewick_gateway::sheet::LogSheet;
 use magpiewick_gateway::{Gateway, HostEnd};
 use magpiewick_link::Clock;
 use magpiewick_standin::{play, Handle};
@@ -117,6 +118,8 @@
         #[command(subcommand)]
         ask: extents::Ask,
     },
+    /// Run a host on the operators' platform, told by its environment alone
+    Platform,
     /// A bare relay, for measuring
     #[command(hide = true)]
     Relay { nodes: Vec<SocketAddr> },
@@ -132,7 +135,7 @@
             | Task::List { file }
             | Task::Drill { file, .. }
             | Task::Load { file, .. } => Some(file),
-            Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } => None,
+            Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } | Task::Platform => None,
         }
     }
 }
@@ -243,7 +246,7 @@
             }
             Ok(0)
         }
-        Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } => Ok(USAGE),
+        Task::Bench { .. } | Task::Relay { .. } | Task::Extents { .. } | Task::Platform => Ok(USAGE),
     }
 }
 
@@ -254,6 +257,17 @@
 /// What needs no settings file.
 fn measure(task: &Task) -> io::Result<u8> {
     match task {
+        Task::Platform => {
+            logs::start(&LogSheet::default());
+            match magpiewick_platform::run() {
+                Ok(()) => Ok(0),
+                Err(magpiewick_platform::Fault::System(e)) => Err(e),
+                Err(magpiewick_platform::Fault::Told(why)) => {
+                    eprintln!("magpiewick: {why}");
+                    Ok(USAGE)
+                }
+            }
+        }
         Task::Bench { nodes, reads: true, .. } => {
             for m in bench_reads(&std::env::current_exe()?, nodes)? {
                 let (how, slow) =
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -8,6 +8,9 @@
 //! Ids of commands, nodes, volumes and keys are the driver's own; a command's id must never be used again.
 
 mod indices;
+mod stood;
+
+pub use stood::Stood;
 
 use indices::{Indices, Keys};
 use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Told, Where};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,13 +10,12 @@
 mod others;
 mod route;
 pub mod sheet;
-mod stood;
 
 use contact::Greeted;
 use floor::{key_of, place_of, Admitted, Floor, PieceEnded, Place, Timer, Whole, WHOLE};
 use follow::Heard;
 use magpiewick::{Answer, Command, Ms, News, Outcome, Repeats};
-use magpiewick_desk::{Desk, Taken};
+use magpiewick_desk::{Desk, Stood, Taken};
 use magpiewick_extents::{Fault, Place as At};
 use magpiewick_link::{Clock, Ended, Poll, Registered, Woken};
 use magpiewick_merge::{cut, Gather, Progress};
@@ -29,7 +28,7 @@
 use std::io::{self, ErrorKind, Read as _};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
-use stood::Stood;
+
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The loop never sleeps longer: what came while the process stood still is told from what just came by it.
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -376,9 +376,14 @@
     }
 }
 
+impl Default for LogSheet {
+    fn default() -> LogSheet {
+        LogSheet { level: "info".to_string(), format: LogFormat::Text, commands: false }
+    }
+}
+
 fn log(part: Option<Part>) -> LogSheet {
-    let absent = LogSheet { level: "info".to_string(), format: LogFormat::Text, commands: false };
-    part.map_or(absent, |p| LogSheet {
+    part.map_or_else(LogSheet::default, |p| LogSheet {
         level: p.field("level").one_of_or(&LEVELS, "info").to_string(),
         format: p.field("format").one_of_or(&FORMATS, LogFormat::Text),
         commands: p.field("commands").flag_or(false),
--- /dev/null
+++ b/crates/http1/src/answer.rs
@@ -0,0 +1,188 @@
+//! Answers as their bytes come: 1xx are passed over, a body counts only when it is whole.
+
+use crate::head::{BadHead, Fields, Heads, MOST_FIELDS};
+use crate::{MOST_BODY, MOST_HEAD};
+
+/// How many 1xx may come before an answer.
+const MOST_INTERIM: u32 = 16;
+/// The longest line that says how long a chunk is.
+const MOST_CHUNK_LINE: usize = 256;
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub fields: Vec<(String, Vec<u8>)>,
+    pub body: Vec<u8>,
+    /// The connection carries no further request.
+    pub close: bool,
+}
+
+impl Answer {
+    /// A field's value as text; none where it is absent, doubled or not text.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let mut all = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
+        let first = all.next()?;
+        if all.next().is_some() {
+            return None;
+        }
+        std::str::from_utf8(&first.1).ok()
+    }
+}
+
+/// Bytes that are no answer, however they go on: spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spoilt;
+
+impl From<BadHead> for Spoilt {
+    fn from(_: BadHead) -> Spoilt {
+        Spoilt
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+enum Stage {
+    #[default]
+    Head,
+    Length(Answer, usize),
+    Chunks(Answer),
+    /// With how many bytes of trailing fields came so far.
+    Trailer(Answer, usize),
+}
+
+/// Reads the answers of one connection, one at a time.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    heads: Heads,
+    interim: u32,
+    stage: Stage,
+}
+
+impl Answers {
+    /// Uses what it can of the input: how many bytes, and an answer where one is whole.
+    pub fn read(&mut self, input: &[u8]) -> Result<(usize, Option<Answer>), Spoilt> {
+        let mut used = 0;
+        loop {
+            let rest = &input[used..];
+            match std::mem::take(&mut self.stage) {
+                Stage::Head => {
+                    let Some(length) = self.heads.end(rest)? else { return Ok((used, None)) };
+                    used += length;
+                    match head(&rest[..length])? {
+                        None if self.interim == MOST_INTERIM => return Err(Spoilt),
+                        None => self.interim += 1,
+                        Some(stage) => self.stage = stage,
+                    }
+                }
+                Stage::Length(mut answer, length) if rest.len() >= length => {
+                    answer.body = rest[..length].to_vec();
+                    self.interim = 0;
+                    return Ok((used + length, Some(answer)));
+                }
+                Stage::Chunks(mut answer) => {
+                    let Some((line, data)) = chunk(rest)? else {
+                        self.stage = Stage::Chunks(answer);
+                        return Ok((used, None));
+                    };
+                    if answer.body.len() + data.len() > MOST_BODY {
+                        return Err(Spoilt);
+                    }
+                    answer.body.extend_from_slice(data);
+                    used += line;
+                    self.stage = match data {
+                        [] => Stage::Trailer(answer, 0),
+                        _ => {
+                            used += data.len() + 2;
+                            Stage::Chunks(answer)
+                        }
+                    };
+                }
+                Stage::Trailer(answer, before) => match line(rest, MOST_HEAD - before)? {
+                    Some(0) => {
+                        self.interim = 0;
+                        return Ok((used + 2, Some(answer)));
+                    }
+                    Some(length) => {
+                        used += length + 2;
+                        self.stage = Stage::Trailer(answer, (before + length + 2).min(MOST_HEAD));
+                    }
+                    None => {
+                        self.stage = Stage::Trailer(answer, before);
+                        return Ok((used, None));
+                    }
+                },
+                stage => {
+                    self.stage = stage;
+                    return Ok((used, None));
+                }
+            }
+        }
+    }
+}
+
+/// How the body behind a head is framed; none for a 1xx.
+fn head(head: &[u8]) -> Result<Option<Stage>, Spoilt> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut parsed = httparse::Response::new(&mut fields);
+    match parsed.parse(head) {
+        Ok(httparse::Status::Complete(used)) if used == head.len() => {}
+        _ => return Err(Spoilt),
+    }
+    let (Some(status), Some(1)) = (parsed.code, parsed.version) else { return Err(Spoilt) };
+    let fields = Fields::of(parsed.headers);
+    // Nobody asked to change protocols.
+    if !(100..=599).contains(&status) || status == 101 {
+        return Err(Spoilt);
+    }
+    if status < 200 {
+        return Ok(None);
+    }
+    let length = fields.length().map_err(|_| Spoilt)?;
+    let codings: Vec<&[u8]> = fields.all("transfer-encoding").collect();
+    let answer = Answer {
+        status,
+        fields: parsed.headers.iter().map(|h| (h.name.to_string(), h.value.to_vec())).collect(),
+        body: Vec::new(),
+        close: fields.says("connection", "close"),
+    };
+    match (codings.as_slice(), length) {
+        ([], Some(length)) if length <= MOST_BODY as u64 => Ok(Some(Stage::Length(answer, length as usize))),
+        ([], None) if matches!(status, 204 | 304) => Ok(Some(Stage::Length(answer, 0))),
+        ([coding], None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Some(Stage::Chunks(answer))),
+        // A body that ends with its connection can never be told from one that broke off.
+        _ => Err(Spoilt),
+    }
+}
+
+/// The length of a line without its end; none where that has not come.
+fn line(input: &[u8], most: usize) -> Result<Option<usize>, Spoilt> {
+    match input.iter().take(most + 2).position(|b| *b == b'\n') {
+        Some(at) if at > 0 && input[at - 1] == b'\r' => Ok(Some(at - 1)),
+        Some(_) => Err(Spoilt),
+        None if input.len() >= most + 2 => Err(Spoilt),
+        None => Ok(None),
+    }
+}
+
+/// A whole chunk: the length of its line with the end, and its data.
+fn chunk(input: &[u8]) -> Result<Option<(usize, &[u8])>, Spoilt> {
+    let Some(end) = line(input, MOST_CHUNK_LINE)? else { return Ok(None) };
+    let digits = input[..end].split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
+    let text = std::str::from_utf8(digits).map_err(|_| Spoilt)?;
+    if text.is_empty() || text.len() > 8 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(Spoilt);
+    }
+    let size = usize::from_str_radix(text, 16).map_err(|_| Spoilt)?;
+    if size > MOST_BODY {
+        return Err(Spoilt);
+    }
+    let start = end + 2;
+    if size == 0 {
+        return Ok(Some((start, &[])));
+    }
+    match input.get(start..start + size + 2) {
+        Some(data) if data.ends_with(b"\r\n") => Ok(Some((start, &data[..size]))),
+        Some(_) => Err(Spoilt),
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 without I/O. What is read comes as a slice of all bytes that were not used yet; every bound is hard,
+//! and what a message promises is never allocated. Strict: what two readers could frame in two ways is refused,
+//! so that nothing hidden in a body is ever taken for a message of its own.
+
+mod answer;
+mod head;
+mod request;
+mod write;
+
+pub use answer::{Answer, Answers, Spoilt};
+pub use head::{Ambiguous, BadHead, Fields, Heads};
+pub use request::{begins_like_a_request, request, Refused, Request};
+pub use write::{write_answer, write_request_head};
+
+/// The longest head and body of a message.
+pub const MOST_HEAD: usize = 16 << 10;
+pub const MOST_BODY: usize = 64 << 10;
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,30 +1,14 @@
-//! One connection that carries frames, with what was read and not yet used, and what is to be written.
+//! One connection that carries frames over a stream of bytes.
 
-use crate::{Poll, Registered};
+use crate::{Ended, Poll, Stream};
 use magpiewick_nodewire::{write, Message};
 use std::collections::VecDeque;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 
-/// How many bytes one call of [`Connection::fill`] takes at most, so that one peer cannot hold up a loop.
-const AT_ONCE: usize = 256 << 10;
 /// What a frame is marked with that need not be told apart.
 pub const NOTHING: u64 = 0;
 
-/// Why a connection is over.
-#[derive(Debug)]
-pub enum Ended {
-    /// The peer closed it in order.
-    Closed,
-    Failed(io::Error),
-}
-
-impl From<io::Error> for Ended {
-    fn from(e: io::Error) -> Ended {
-        Ended::Failed(e)
-    }
-}
-
 /// A frame in the output: where it starts and ends, counted in bytes since the connection began, and its marks.
 struct Frame {
     start: u64,
@@ -41,96 +25,41 @@
 }
 
 pub struct Connection {
-    socket: Registered<TcpStream>,
-    input: Vec<u8>,
-    output: Vec<u8>,
-    /// Bytes of the output that the kernel has taken, and those before it since the connection began.
-    written: usize,
-    before: u64,
+    stream: Stream,
     frames: VecDeque<Frame>,
-    reading: bool,
-    /// Set until the connection stands.
-    connecting: bool,
 }
 
 impl Connection {
     pub fn accepted(poll: &Poll, stream: TcpStream, key: usize) -> io::Result<Connection> {
-        Connection::over(poll, stream, key, false)
+        Ok(Connection { stream: Stream::accepted(poll, stream, key)?, frames: VecDeque::new() })
     }
 
     /// Starts to connect; whether that succeeds shows at the first write or read.
     pub fn connect(poll: &Poll, address: SocketAddr, key: usize) -> io::Result<Connection> {
-        let domain = socket2::Domain::for_address(address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&address.into()) {
-            Err(e) if e.raw_os_error() != Some(115) && e.kind() != ErrorKind::WouldBlock => return Err(e),
-            _ => {}
-        }
-        let mut connection = Connection::over(poll, socket.into(), key, true)?;
-        connection.socket.watch(true, true)?;
-        Ok(connection)
-    }
-
-    fn over(poll: &Poll, stream: TcpStream, key: usize, connecting: bool) -> io::Result<Connection> {
-        stream.set_nonblocking(true)?;
-        // Answers must not wait for company; the loop gathers what belongs together itself.
-        stream.set_nodelay(true)?;
-        Ok(Connection {
-            socket: poll.register(stream, key)?,
-            input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
-            before: 0,
-            frames: VecDeque::new(),
-            reading: true,
-            connecting,
-        })
+        Ok(Connection { stream: Stream::connect(poll, address, key)?, frames: VecDeque::new() })
     }
 
     pub fn key(&self) -> usize {
-        self.socket.key()
+        self.stream.key()
     }
 
     pub fn connecting(&self) -> bool {
-        self.connecting
+        self.stream.connecting()
     }
 
     /// Reads what is there, up to a bound; true where more may be waiting.
     pub fn fill(&mut self) -> Result<bool, Ended> {
-        let bound = self.input.len() + AT_ONCE;
-        let mut piece = [0; 16 << 10];
-        while self.input.len() < bound {
-            match self.socket.read(&mut piece) {
-                Ok(0) => return Err(Ended::Closed),
-                Ok(n) => {
-                    self.input.extend_from_slice(&piece[..n]);
-                    if n < piece.len() {
-                        return Ok(false);
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e.into()),
-            }
-        }
-        Ok(true)
+        self.stream.fill()
     }
 
     /// Takes what was read out, so that frames can be used while the connection is written to; what was not
     /// used comes back by [`Connection::give_back`].
     pub fn take_input(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.input)
+        self.stream.take_input()
     }
 
-    pub fn give_back(&mut self, mut input: Vec<u8>, used: usize) {
-        input.drain(..used);
-        debug_assert!(self.input.is_empty(), "input was read while it was out");
-        // A burst's room is not kept for ever by a connection that went idle.
-        if input.is_empty() && input.capacity() > AT_ONCE {
-            input = Vec::new();
-        }
-        self.input = input;
+    pub fn give_back(&mut self, input: Vec<u8>, used: usize) {
+        self.stream.give_back(input, used);
     }
 
     /// Puts a message behind what is to be written. `mark` names it to [`Connection::never_left`].
@@ -140,61 +69,37 @@
 
     /// Puts a message that stands for several marks behind what is to be written.
     pub fn queue_for(&mut self, message: &Message, mark: u64, others: Vec<u64>) {
-        let start = self.before + self.output.len() as u64;
-        write(message, &mut self.output);
+        let start = self.stream.queued_in_all();
+        write(message, self.stream.output());
         if mark != NOTHING {
-            let end = self.before + self.output.len() as u64;
+            let end = self.stream.queued_in_all();
             self.frames.push_back(Frame { start, end, mark, others });
         }
     }
 
     /// Puts bytes that need not be a whole frame behind what is to be written; for rigs that break off.
     pub fn queue_bytes(&mut self, bytes: &[u8]) {
-        self.output.extend_from_slice(bytes);
+        self.stream.output().extend_from_slice(bytes);
     }
 
     /// Bytes that wait to be written.
     pub fn pending(&self) -> usize {
-        self.output.len() - self.written
+        self.stream.pending()
     }
 
     /// Writes what the kernel takes.
     pub fn flush(&mut self) -> Result<(), Ended> {
-        if self.connecting {
-            match self.socket.take_error()? {
-                Some(e) => return Err(e.into()),
-                None if self.socket.peer_addr().is_ok() => self.connecting = false,
-                None => return Ok(()),
-            }
-        }
-        while self.pending() > 0 {
-            match self.socket.write(&self.output[self.written..]) {
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e.into()),
-            }
-        }
-        let taken = self.before + self.written as u64;
+        let done = self.stream.flush();
+        let taken = self.stream.written_in_all();
         while self.frames.front().is_some_and(|f| f.end <= taken) {
             self.frames.pop_front();
         }
-        if self.pending() == 0 || self.written > AT_ONCE {
-            self.output.drain(..self.written);
-            (self.before, self.written) = (taken, 0);
-        }
-        if self.output.is_empty() && self.output.capacity() > AT_ONCE {
-            self.output = Vec::new();
-        }
-        self.socket.watch(self.reading, self.pending() > 0)?;
-        Ok(())
+        done
     }
 
     /// Whether to read on; a peer that is not read is held back by its own buffers.
     pub fn set_reading(&mut self, reading: bool) -> Result<(), Ended> {
-        self.reading = reading;
-        self.socket.watch(reading, self.connecting || self.pending() > 0)?;
-        Ok(())
+        self.stream.set_reading(reading)
     }
 
     /// Marks of the frames whose last byte the kernel has not taken: the peer cannot have read them whole, and
@@ -206,20 +111,18 @@
     /// Takes marked frames of which no byte was written out of the output; their marks come back. False where a
     /// marked frame is left of which a part was written.
     pub fn pull_back(&mut self) -> (Vec<u64>, bool) {
-        let taken = self.before + self.written as u64;
+        let taken = self.stream.written_in_all();
         let begun = self.frames.front().is_some_and(|f| f.start < taken);
         let pulled: Vec<Frame> = self.frames.drain(usize::from(begun)..).collect();
         for frame in pulled.iter().rev() {
-            let at = (frame.start - self.before) as usize..(frame.end - self.before) as usize;
-            self.output.drain(at);
+            self.stream.pull(frame.start, frame.end);
         }
         (pulled.iter().flat_map(Frame::marks).collect(), !begun)
     }
 
     /// Ends the connection so that the peer sees a reset, not an orderly end.
     pub fn reset(self) {
-        // Without it the peer sees an end in order: as good, only less plain.
-        _ = socket2::SockRef::from(&*self.socket).set_linger(Some(std::time::Duration::ZERO));
+        self.stream.reset();
     }
 }
 
@@ -228,6 +131,7 @@
     use super::*;
     use crate::listen;
     use magpiewick_nodewire::{read, Message as M, Read as R, Take};
+    use std::io::ErrorKind;
 
     fn pair(poll: &Poll) -> (Connection, Connection) {
         let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,12 +1,14 @@
-//! What every loop of magpiewick needs and what decides nothing: a poller that owns its sources, connections
-//! that carry frames, and timers.
+//! What every loop of magpiewick needs and what decides nothing: a poller that owns its sources, streams of
+//! bytes, connections that carry frames on them, and timers.
 
 mod connection;
 mod poll;
+mod stream;
 mod timers;
 
-pub use connection::{Connection, Ended, NOTHING};
+pub use connection::{Connection, NOTHING};
 pub use poll::{Poll, Registered, Woken};
+pub use stream::{Ended, Stream};
 pub use timers::{Clock, Timers};
 
 use std::io;
--- /dev/null
+++ b/crates/platform/src/ask.rs
@@ -0,0 +1,133 @@
+//! Whether what a client asks is a command, by the settings; free of I/O.
+
+use magpiewick::{Command, Ms};
+use magpiewick_desk::Taken;
+use magpiewick_facts::Door;
+use magpiewick_http1::{Refused, Request};
+
+/// No client waits longer, and no volume comes through more hosts.
+const MOST_WAIT: Ms = 3_600_000.0;
+const MOST_HOSTS: f64 = 65_536.0;
+/// Longer ids are none of the platform's.
+const MOST_ID: usize = 64;
+
+const MALFORMED: u16 = 400;
+
+fn bad<T>(why: &'static str) -> Result<T, Refused> {
+    Err(Refused { status: MALFORMED, why })
+}
+
+/// The one value of a field that must stand there.
+fn needed<'a>(request: &Request<'a>, name: &str, why: &'static str) -> Result<&'a str, Refused> {
+    let Ok(Some(value)) = request.fields.one(name) else { return bad(why) };
+    std::str::from_utf8(value).or_else(|_| bad(why))
+}
+
+/// The request's id, byte for byte.
+pub fn id<'a>(request: &Request<'a>) -> Result<&'a str, Refused> {
+    let id = needed(request, "x-request-id", "there must be one X-Request-Id")?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    match id.is_empty() || id.len() > MOST_ID || !id.bytes().all(plain) {
+        true => bad("the X-Request-Id is malformed"),
+        false => Ok(id),
+    }
+}
+
+fn hex(part: &str) -> Option<u64> {
+    let good = part.len() == 16 && part.bytes().all(|b| b.is_ascii_hexdigit());
+    good.then(|| u64::from_str_radix(part, 16).ok())?
+}
+
+/// The volume and the piece that a path ends with.
+fn place(target: &str) -> Option<(u64, u64)> {
+    let path = target.split('?').next()?;
+    let mut parts = path.rsplit('/');
+    let (piece, volume) = (hex(parts.next()?)?, hex(parts.next()?)?);
+    // Something must stand before them, if only the path's first slash.
+    parts.next()?;
+    path.starts_with('/').then_some((volume, piece))
+}
+
+/// Plain digits with at most one point, so that no sign, exponent or word passes for a number.
+fn number(text: &str) -> Option<f64> {
+    let good = text.len() <= 15 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    good.then(|| text.parse().ok())?
+}
+
+/// A time with its unit.
+fn time(text: &str) -> Option<Ms> {
+    let (digits, unit) = match text.as_bytes().last()? {
+        b'm' => (&text[..text.len() - 1], 1.0),
+        b'u' => (&text[..text.len() - 1], 0.001),
+        _ => return None,
+    };
+    number(digits).map(|n| n * unit).filter(|t| *t <= MOST_WAIT)
+}
+
+fn shard_of(text: &str, door: &Door) -> Option<usize> {
+    let number: u16 = Some(text).filter(|t| t.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()?;
+    Some(usize::from(number)).filter(|n| door.shards.is_none_or(|shards| *n < shards))
+}
+
+/// Size, shard (none for a new object) and number of hosts.
+fn placement(text: &str, door: &Door) -> Option<(f64, Option<usize>, f64)> {
+    let (mut units, mut shard, mut hosts) = (None, None, None);
+    for part in text.split(',') {
+        let (name, value) = part.split_once('=')?;
+        let value = value.trim();
+        let before = match name.trim() {
+            "units" => units.replace(number(value).filter(|u| *u > 0.0 && *u <= door.most_units)?).is_some(),
+            "shard" if value == "-1" => shard.replace(None).is_some(),
+            "shard" => shard.replace(Some(shard_of(value, door)?)).is_some(),
+            "hosts" => hosts.replace(number(value).filter(|h| (1.0..=MOST_HOSTS).contains(h))?).is_some(),
+            // What later versions of the platform add is left alone.
+            _ => false,
+        };
+        if before {
+            return None;
+        }
+    }
+    Some((units?, shard?, hosts?))
+}
+
+/// The command that a request asks for; `used` of its time is over already.
+pub fn command(request: &Request, door: &Door, used: Ms, number: u64) -> Result<Taken, Refused> {
+    let Some((volume, key)) = place(request.target) else {
+        return Err(Refused { status: 404, why: "the path names no volume and piece" });
+    };
+    let band = needed(request, "x-class", "there must be one X-Class")?;
+    let Some(band) = door.bands.iter().position(|b| b.name == band) else {
+        return bad("the X-Class is not known here");
+    };
+    let plan = needed(request, "x-qos-policy", "there must be one X-Qos-Policy")?;
+    let Some(plan) = door.plans.iter().position(|p| *p == plan) else {
+        return bad("the X-Qos-Policy is not known here");
+    };
+    let fits = match request.method {
+        "GET" => request.body == 0 && door.bands[band].writes != Some(true),
+        "PUT" => door.bands[band].writes != Some(false),
+        _ => false,
+    };
+    if !fits {
+        return Err(Refused { status: 405, why: "the method does not fit the X-Class" });
+    }
+    let limit = needed(request, "x-deadline", "there must be one X-Deadline")?;
+    let Some(limit) = time(limit) else { return bad("the X-Deadline is no time") };
+    let placed = needed(request, "x-placement", "there must be one X-Placement")?;
+    let Some((units, shard, hosts)) = placement(placed, door) else {
+        return bad("the X-Placement is malformed");
+    };
+    let command = Command {
+        band,
+        plan,
+        volume: 0,
+        key: None,
+        units,
+        shard,
+        hosts,
+        time_limit: limit - used,
+        counts: 1.0,
+        with: None,
+    };
+    Ok(Taken { id: number, key, volume, command })
+}
--- /dev/null
+++ b/crates/platform/src/floor.rs
@@ -0,0 +1,596 @@
+//! What the desk's wishes come to on sockets: connections to clients, nodes and discovery, and the commands that
+//! travel between them. Every decision on a command is the desk's.
+
+use crate::clients::{self, Standing};
+use crate::discovery::{Line, Listing, Watch};
+use crate::leaving::Leaving;
+use crate::nodes::Pool;
+use crate::outcome::{outcome, Sign};
+use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
+use magpiewick_desk::{Part, Reason, World};
+use magpiewick_facts::Door;
+use magpiewick_http1::{self as http1, Answers, Heads, Refused};
+use magpiewick_link::{Clock, Poll, Stream, Timers};
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Keys below belong to the loop itself.
+pub const FIRST_KEY: usize = 8;
+/// Descriptors that are not for clients nor nodes: the standard ones, the poller's, signals, listener, discovery,
+/// a file that is read anew.
+const OWN_SOCKETS: usize = 20;
+/// The part of the others that may be clients': those that are in earnest hold a third of all at most.
+const CLIENTS_PART: f64 = 0.45;
+/// A connection to a node that does not stand by then has not come up, where the settings do not say.
+const DIAL: Ms = 1000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timed {
+    /// A connection to a node is to stand by now.
+    Dial(usize, u64),
+    /// A hand-off's answer is to be there by now.
+    HandOff(u64, u32),
+    /// A client's connection is to have done something by now.
+    Client(usize, u64),
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: Stream,
+    pub heads: Heads,
+    pub serial: u64,
+    pub since: Ms,
+    pub served: bool,
+    /// When the first and the last byte of the request that is next may have come.
+    pub began: Ms,
+    pub came: Ms,
+    /// A timer looks at it.
+    pub timed: bool,
+    pub open: Option<u64>,
+    /// Nothing more is read as requests: what is written goes out, then it ends.
+    pub closing: bool,
+    /// The client asked for the end after the open command's answer.
+    pub last: bool,
+}
+
+impl Client {
+    pub fn busy(&self) -> bool {
+        self.open.is_some() || self.stream.pending() > 0
+    }
+}
+
+/// What a connection to a node is at.
+pub enum Stage {
+    Rests,
+    /// A hand-off; until which byte of the stream it goes, and when that was written.
+    Out {
+        command: u64,
+        end: u64,
+        written: Option<Ms>,
+    },
+}
+
+pub struct Link {
+    pub stream: Stream,
+    pub node: u32,
+    pub serial: u64,
+    pub answers: Answers,
+    pub stage: Stage,
+}
+
+impl Link {
+    /// Whether the kernel took the last byte of the hand-off.
+    fn written(&self) -> bool {
+        matches!(self.stage, Stage::Out { end, .. } if self.stream.written_in_all() >= end)
+    }
+}
+
+pub struct Call {
+    pub stream: Stream,
+    pub answers: Answers,
+}
+
+pub enum Peer {
+    Client(Client),
+    Link(Link),
+    Call(Call),
+}
+
+/// A command until its answer is given and none of its hand-offs is out.
+pub struct Open {
+    pub client: Option<usize>,
+    pub id: String,
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+    /// The hand-off that is out, on which connection, and since when.
+    pub out: Option<(u32, usize, Ms)>,
+}
+
+/// A node as the list names it.
+pub struct Node {
+    pub id: String,
+    pub address: Option<SocketAddr>,
+    pub condition: Condition,
+}
+
+/// Counters for the log.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub settled: u64,
+    pub bounced: u64,
+    pub scrapped: u64,
+    pub gone: u64,
+    pub refused: u64,
+    pub evicted: u64,
+    pub sent: u64,
+    pub opened: u64,
+    pub lists: u64,
+    pub lists_failed: u64,
+    pub outcomes: BTreeMap<&'static str, u64>,
+}
+
+pub struct Floor {
+    pub poll: Poll,
+    pub clock: Clock,
+    pub now: Ms,
+    /// What came in may be that old.
+    pub age: Ms,
+    pub door: Door,
+    pub peers: Slab<Peer>,
+    pub commands: HashMap<u64, Open>,
+    pub ids: HashMap<String, u64>,
+    pub nodes: BTreeMap<u32, Node>,
+    node_numbers: HashMap<String, u32>,
+    next_node: u32,
+    pub pool: Pool,
+    pub timers: Timers<Timed>,
+    /// Outcomes that are owed to the desk.
+    pub owed: Vec<(u64, Answer)>,
+    pub wakes_at: Ms,
+    pub watch: Watch,
+    pub discovery: SocketAddr,
+    pub call: Option<usize>,
+    pub wants_list: bool,
+    pub leaving: Leaving,
+    pub counts: Counts,
+    pub most_clients: usize,
+    most_links: usize,
+    pub clients: usize,
+    links: usize,
+    serial: u64,
+    /// Unix time, in milliseconds, at which the loop's clock was 0.
+    epoch: f64,
+    /// Clients with input left behind the request that was just answered.
+    pub again: Vec<usize>,
+}
+
+impl Floor {
+    pub fn new(
+        poll: Poll,
+        clock: Clock,
+        epoch: f64,
+        door: Door,
+        sockets: usize,
+        discovery: SocketAddr,
+    ) -> Floor {
+        let shared = sockets - OWN_SOCKETS;
+        let most_clients = (shared as f64 * CLIENTS_PART) as usize;
+        Floor {
+            poll,
+            clock,
+            now: clock.now(),
+            age: 0.0,
+            pool: Pool::new(door.idle),
+            door,
+            peers: Slab::new(),
+            commands: HashMap::new(),
+            ids: HashMap::new(),
+            nodes: BTreeMap::new(),
+            node_numbers: HashMap::new(),
+            next_node: 0,
+            timers: Timers::default(),
+            owed: Vec::new(),
+            wakes_at: 0.0,
+            watch: Watch::default(),
+            discovery,
+            call: None,
+            wants_list: false,
+            leaving: Leaving::default(),
+            counts: Counts::default(),
+            most_clients,
+            most_links: shared - most_clients,
+            clients: 0,
+            links: 0,
+            serial: 0,
+            epoch,
+            again: Vec::new(),
+        }
+    }
+
+    pub fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    /// Puts a peer in its place; its stream is made under the key that it will have.
+    pub fn enter(
+        &mut self,
+        make: impl FnOnce(&Poll, usize) -> std::io::Result<Peer>,
+    ) -> std::io::Result<usize> {
+        let place = self.peers.vacant_entry();
+        let key = place.key();
+        place.insert(make(&self.poll, key + FIRST_KEY)?);
+        Ok(key)
+    }
+
+    pub fn client(&mut self, key: usize) -> Option<&mut Client> {
+        match self.peers.get_mut(key) {
+            Some(Peer::Client(client)) => Some(client),
+            _ => None,
+        }
+    }
+
+    pub fn link(&mut self, key: usize) -> Option<&mut Link> {
+        match self.peers.get_mut(key) {
+            Some(Peer::Link(link)) => Some(link),
+            _ => None,
+        }
+    }
+
+    pub fn accept(&mut self, stream: std::net::TcpStream) {
+        if self.clients >= self.most_clients && !self.make_room() {
+            return;
+        }
+        let (now, serial) = (self.now, self.next_serial());
+        let entered = self.enter(|poll, key| {
+            let stream = Stream::accepted(poll, stream, key)?;
+            Ok(Peer::Client(Client {
+                stream,
+                heads: Heads::default(),
+                serial,
+                since: now,
+                served: false,
+                began: now,
+                came: now,
+                timed: true,
+                open: None,
+                closing: false,
+                last: false,
+            }))
+        });
+        if let Ok(key) = entered {
+            self.clients += 1;
+            self.timers.set(now + clients::PATIENCE, Timed::Client(key, serial));
+        }
+    }
+
+    /// A request has begun to come: it must come whole in time.
+    pub fn client_waits(&mut self, key: usize) {
+        let Some(client) = self.client(key).filter(|c| !c.timed) else { return };
+        client.timed = true;
+        let (at, timed) = (client.began + clients::PATIENCE, Timed::Client(key, client.serial));
+        self.timers.set(at, timed);
+    }
+
+    /// Ends the client's connection that gives way first; false where none may.
+    pub fn make_room(&mut self) -> bool {
+        let standing = self.peers.iter().filter_map(|(key, peer)| match peer {
+            Peer::Client(c) => Some(Standing { key, busy: c.busy(), served: c.served, since: c.since }),
+            _ => None,
+        });
+        let Some(key) = clients::gives_way(standing) else { return false };
+        self.counts.evicted += 1;
+        self.drop_client(key);
+        true
+    }
+
+    /// Ends a client's connection; the command that was open on it.
+    pub fn drop_client(&mut self, key: usize) -> Option<u64> {
+        match self.peers.get(key) {
+            Some(Peer::Client(_)) => {}
+            _ => return None,
+        }
+        self.clients -= 1;
+        let Peer::Client(client) = self.peers.remove(key) else { return None };
+        client.open
+    }
+
+    /// Writes an answer to a client, who has none coming otherwise.
+    pub fn reply(&mut self, key: usize, status: u16, fields: &[(&str, &[u8])], body: &[u8], close: bool) {
+        let leaves = self.leaving.goes();
+        let now = self.now;
+        let Some(client) = self.client(key) else { return };
+        let close = close || leaves || client.last;
+        http1::write_answer(client.stream.output(), status, fields, body, close);
+        (client.open, client.closing, client.since) = (None, client.closing || close, now);
+        self.again.push(key);
+    }
+
+    /// Refuses what a client sent: nothing of it goes further.
+    pub fn refuse(&mut self, key: usize, refused: Refused, close: bool) {
+        self.counts.refused += 1;
+        let body = format!("{}\n", refused.why);
+        self.reply(key, refused.status, &[("Content-Type", b"text/plain")], body.as_bytes(), close);
+    }
+
+    /// Forgets a command that was answered and has nothing out.
+    pub fn release(&mut self, command: u64) {
+        let over = |open: &Open| open.client.is_none() && open.out.is_none();
+        if self.commands.get(&command).is_some_and(over) {
+            if let Some(open) = self.commands.remove(&command) {
+                self.ids.remove(&open.id);
+            }
+        }
+    }
+
+    pub fn drop_link(&mut self, key: usize) -> Option<Link> {
+        self.link(key)?;
+        self.links -= 1;
+        let Peer::Link(link) = self.peers.remove(key) else { return None };
+        if matches!(link.stage, Stage::Rests) {
+            self.pool.ended(link.node, key);
+        }
+        Some(link)
+    }
+
+    /// Ends a connection to a node and whatever hand-off is out on it.
+    pub fn end_link(&mut self, key: usize, sign: Sign) {
+        let Some(link) = self.drop_link(key) else { return };
+        if let Stage::Out { command, written, .. } = link.stage {
+            self.owe(command, outcome(sign, link.written()), written, None);
+        }
+    }
+
+    /// Owes the desk the outcome of a command's hand-off that is out.
+    pub fn owe(
+        &mut self,
+        command: u64,
+        outcome: Outcome,
+        written: Option<Ms>,
+        answer: Option<&http1::Answer>,
+    ) {
+        let now = self.now;
+        let Some(open) = self.commands.get_mut(&command) else { return };
+        let Some((_, _, since)) = open.out.take() else { return };
+        let number =
+            |name| answer.and_then(|a| a.field(name)).and_then(|text| text.trim().parse::<f64>().ok());
+        let read = |name| number(name).filter(|n| n.is_finite() && *n >= 0.0);
+        // What the node took: the time that a connection needed to come up is not its own.
+        let latency = now - written.unwrap_or(since);
+        let used = read("x-iops-used").map(|percent| percent / 100.0);
+        let others = read("x-rho").unwrap_or(0.0);
+        let over = outcome == Outcome::Settled;
+        *self.counts.outcomes.entry(Reason::After(outcome).word()).or_default() += 1;
+        self.owed.push((command, Answer { outcome, latency, over, used, others }));
+    }
+
+    /// Begins a hand-off on a resting connection that is good, or on a new one.
+    fn hand_off(&mut self, node: u32, part: &Part) {
+        let now = self.now;
+        let address = self.nodes.get(&node).and_then(|n| n.address);
+        let key = loop {
+            let Some(key) = self.pool.take(node) else { break None };
+            let Some(link) = self.link(key) else { continue };
+            // Bytes or an end that came while it rested are no answer to anything.
+            if matches!(link.stream.fill_to(1), Ok(false)) && link.stream.input().is_empty() {
+                break Some(key);
+            }
+            self.drop_link(key);
+        };
+        let key = key.or_else(|| self.dial(node, address?));
+        let Some(open) = self.commands.get_mut(&part.command) else { return };
+        open.out = Some((part.hand_off, key.unwrap_or(usize::MAX), now));
+        let Some(Peer::Link(link)) = key.and_then(|key| self.peers.get_mut(key)) else {
+            return self.owe(part.command, Outcome::NoConnection, None, None);
+        };
+        let deadline = format!("X-Deadline: {}m\r\n\r\n", part.time_out.max(1.0).floor());
+        let out = link.stream.output();
+        [&open.head, deadline.as_bytes(), &open.body].iter().for_each(|part| out.extend_from_slice(part));
+        let end = link.stream.queued_in_all();
+        link.stage = Stage::Out { command: part.command, end, written: None };
+        self.counts.sent += 1;
+        self.timers.set(now + part.time_out, Timed::HandOff(part.command, part.hand_off));
+        if let Some(key) = key {
+            self.flush_link(key);
+        }
+    }
+
+    fn dial(&mut self, node: u32, address: SocketAddr) -> Option<usize> {
+        if self.links >= self.most_links {
+            let key = self.pool.gives_way()?;
+            self.drop_link(key);
+        }
+        let (now, serial) = (self.now, self.next_serial());
+        let entered = self.enter(|poll, key| {
+            let stream = Stream::connect(poll, address, key)?;
+            Ok(Peer::Link(Link { stream, node, serial, answers: Answers::default(), stage: Stage::Rests }))
+        });
+        let key = entered.ok()?;
+        self.links += 1;
+        self.counts.opened += 1;
+        self.timers.set(now + self.door.dial.unwrap_or(DIAL), Timed::Dial(key, serial));
+        Some(key)
+    }
+
+    pub fn flush_link(&mut self, key: usize) {
+        let now = self.now;
+        let Some(link) = self.link(key) else { return };
+        if link.stream.flush().is_err() {
+            return self.end_link(key, Sign::Broke);
+        }
+        let whole = link.written();
+        if let Stage::Out { written, .. } = &mut link.stage {
+            if whole {
+                written.get_or_insert(now);
+            }
+        }
+    }
+
+    /// What came from a node.
+    pub fn read_link(&mut self, key: usize) {
+        let now = self.now;
+        let Some(link) = self.link(key) else { return };
+        let end = link.stream.fill_to(2 * http1::MOST_BODY);
+        let Stage::Out { command, written, .. } = link.stage else {
+            // Nothing was asked: whatever comes, the connection is of no more use.
+            self.drop_link(key);
+            return;
+        };
+        let input = link.stream.take_input();
+        let read = link.answers.read(&input);
+        let (used, answer) = match read {
+            Ok(read) => read,
+            Err(_) => return self.end_link(key, Sign::Spoilt),
+        };
+        let behind = used < input.len();
+        link.stream.give_back(input, used);
+        let Some(answer) = answer else {
+            if end.is_err() {
+                self.end_link(key, Sign::Broke);
+            }
+            return;
+        };
+        let whole = link.written();
+        let node = link.node;
+        if behind || end.is_err() || answer.close || !whole {
+            self.drop_link(key);
+        } else {
+            link.stage = Stage::Rests;
+            link.stream.rest();
+            let ready = self.nodes.get(&node).is_some_and(|n| n.condition == Condition::Ready);
+            match ready {
+                true => self.pool.rests(now, node, key),
+                false => _ = self.drop_link(key),
+            }
+        }
+        let sign = Sign::Answer { status: answer.status, not_run: answer.field("x-not-run") == Some("1") };
+        let outcome = outcome(sign, whole);
+        self.owe(command, outcome, written, Some(&answer));
+        if outcome == Outcome::Settled {
+            self.settle(command, &answer.body);
+        }
+    }
+
+    /// Passes a node's answer on to the client that asked, if it still waits.
+    fn settle(&mut self, command: u64, body: &[u8]) {
+        let Some(open) = self.commands.get_mut(&command) else { return };
+        if let Some(key) = open.client.take() {
+            self.counts.settled += 1;
+            self.reply(key, 200, &[], body, false);
+        }
+    }
+
+    /// Takes a listing's lines in: the module's entries of them.
+    pub fn listed(&mut self, listing: &Listing) -> Vec<(u32, Entry)> {
+        if listing.whole {
+            let named: Vec<&str> = listing.lines.iter().map(|l| l.id.as_str()).collect();
+            let gone = self.nodes.iter().filter(|(_, n)| !named.contains(&n.id.as_str()));
+            let gone: Vec<u32> = gone.map(|(node, _)| *node).collect();
+            gone.into_iter().for_each(|node| self.forget_node(node));
+        }
+        listing.lines.iter().filter_map(|line| self.line(line)).collect()
+    }
+
+    fn line(&mut self, line: &Line) -> Option<(u32, Entry)> {
+        let known = self.node_numbers.get(&line.id).copied();
+        let number = match known {
+            Some(number) => number,
+            // Whatever was never known cannot go.
+            None if line.condition == Condition::Gone => return None,
+            None => {
+                self.next_node += 1;
+                self.node_numbers.insert(line.id.clone(), self.next_node);
+                self.next_node
+            }
+        };
+        let zone = self.door.zones.iter().position(|z| *z == line.zone).unwrap_or(self.door.zones.len());
+        let started = line.started.map(|at| at as f64 - self.epoch);
+        let entry = Entry { node: 0, zone, shard: line.shard, condition: line.condition, started };
+        if line.condition == Condition::Gone {
+            self.forget_node(number);
+            return Some((number, entry));
+        }
+        let node = Node { id: line.id.clone(), address: line.address, condition: line.condition };
+        let before = self.nodes.insert(number, node);
+        if line.condition != Condition::Ready || before.is_some_and(|n| n.address != line.address) {
+            self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
+        }
+        if line.condition != Condition::Ready {
+            self.take_back(number);
+        }
+        Some((number, entry))
+    }
+
+    fn forget_node(&mut self, number: u32) {
+        self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
+        self.take_back(number);
+        if let Some(node) = self.nodes.remove(&number) {
+            self.node_numbers.remove(&node.id);
+        }
+    }
+
+    /// Takes hand-offs back of which no byte was written to a node that wants nothing new.
+    fn take_back(&mut self, number: u32) {
+        let unbegun = self.peers.iter().filter_map(|(key, peer)| match peer {
+            Peer::Link(link) if link.node == number => {
+                (matches!(link.stage, Stage::Out { .. }) && link.stream.connecting()).then_some(key)
+            }
+            _ => None,
+        });
+        let unbegun: Vec<usize> = unbegun.collect();
+        unbegun.into_iter().for_each(|key| self.end_link(key, Sign::GivenUp));
+    }
+
+    /// Ends a hand-off that is out, as its time is over or nobody waits for it.
+    pub fn give_up(&mut self, command: u64, hand_off: u32, sign: Sign) {
+        let out = self.commands.get(&command).and_then(|open| open.out);
+        if let Some((_, key, _)) = out.filter(|out| out.0 == hand_off) {
+            self.end_link(key, sign);
+        }
+    }
+}
+
+impl World for Floor {
+    fn send(&mut self, node: u32, parts: &[Part]) {
+        parts.iter().for_each(|part| self.hand_off(node, part));
+    }
+
+    fn cancel(&mut self, command: u64, hand_off: u32) {
+        self.give_up(command, hand_off, Sign::GivenUp);
+    }
+
+    fn answer(&mut self, command: u64, ending: Ending, reason: Reason) {
+        let Some(open) = self.commands.get_mut(&command) else { return };
+        let client = open.client.take();
+        self.release(command);
+        let Some(key) = client else { return };
+        let word = reason.word();
+        let (status, back) = match ending {
+            Ending::Bounced { back } => (503, back),
+            Ending::Scrapped => (502, 0.0),
+        };
+        match ending {
+            Ending::Bounced { .. } => self.counts.bounced += 1,
+            Ending::Scrapped => self.counts.scrapped += 1,
+        }
+        let back = format!("{:.3}", back / 1000.0);
+        let fields: &[(&str, &[u8])] = match back.as_str() {
+            "0.000" => &[],
+            back => &[("Retry-After", back.as_bytes())],
+        };
+        self.reply(key, status, fields, format!("{word}\n").as_bytes(), false);
+    }
+
+    /// The module judges nodes by their answers alone and asks for no probe.
+    fn probe(&mut self, _: u32) {}
+
+    fn watch(&mut self) {
+        self.wants_list = true;
+    }
+
+    fn wake(&mut self, at: Ms) {
+        self.wakes_at = at;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,548 @@
+//! The operators' platform as a door of magpiewick: one host, told by its environment and a JSON file, that speaks
+//! HTTP/1.1 with clients, nodes and discovery. One poll loop on one thread drives the desk; what only sockets ask
+//! is decided in small modules without I/O.
+
+mod ask;
+mod clients;
+mod config;
+mod discovery;
+mod floor;
+mod leaving;
+mod nodes;
+mod outcome;
+
+pub use config::VARIABLE;
+
+use config::Told;
+use floor::{Call, Floor, Open, Peer, Timed, FIRST_KEY};
+use magpiewick::{Ms, News};
+use magpiewick_desk::{Desk, Stood};
+use magpiewick_http1::{self as http1, Answers, Refused};
+use magpiewick_link::{Clock, Poll, Registered, Stream, Woken};
+use outcome::Sign;
+use std::io::{self, ErrorKind, Read};
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+const LISTENER: usize = 0;
+const TERM: usize = 1;
+const HANG_UP: usize = 2;
+/// The loop never sleeps longer: what came while the process stood still is told from what just came by it.
+const MOST_SLEEP: Ms = 100.0;
+/// Connections accepted a turn, and rest for the listener when there is no descriptor left.
+const ACCEPTS: usize = 64;
+const ACCEPT_REST: Ms = 50.0;
+/// How often the counters are told.
+const TELL_EVERY: Ms = 5000.0;
+/// A host that discovery does not answer is ready after this time with the list that it was given.
+const READY_WITHOUT_LIST: Ms = 1500.0;
+
+/// Why the platform's door does not open: what the environment or the file has wrong, or the system refused.
+#[derive(Debug)]
+pub enum Fault {
+    Told(String),
+    System(io::Error),
+}
+
+impl From<io::Error> for Fault {
+    fn from(e: io::Error) -> Fault {
+        Fault::System(e)
+    }
+}
+
+struct Platform {
+    desk: Desk,
+    floor: Floor,
+    stood: Stood,
+    listener: Option<Registered<TcpListener>>,
+    accepts_from: Ms,
+    term: Registered<UnixStream>,
+    hang_up: Registered<UnixStream>,
+    path: PathBuf,
+    ready_at: Ms,
+    next_command: u64,
+    tells_at: Ms,
+}
+
+fn signal(poll: &Poll, number: i32, key: usize) -> io::Result<Registered<UnixStream>> {
+    let (from, to) = UnixStream::pair()?;
+    from.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(number, to)?;
+    poll.register(from, key)
+}
+
+/// Runs a host until it has ended in order.
+pub fn run() -> Result<(), Fault> {
+    let path = config::path().map_err(Fault::Told)?;
+    let told = config::read(&path).map_err(Fault::Told)?;
+    Platform::new(told, &path)?.serve()?;
+    Ok(())
+}
+
+impl Platform {
+    fn new(told: Told, path: &Path) -> io::Result<Platform> {
+        let (poll, clock) = (Poll::new()?, Clock::start());
+        let now = clock.now();
+        // Wall time becomes the loop's once: a step of the wall clock must not make a node seem restarted.
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |t| t.as_secs_f64());
+        let term = signal(&poll, signal_hook::consts::SIGTERM, TERM)?;
+        let hang_up = signal(&poll, signal_hook::consts::SIGHUP, HANG_UP)?;
+        let listener = poll.register(magpiewick_link::listen(told.listen)?, LISTENER)?;
+        let round = told.start.round;
+        tracing::info!(name = told.name, listen = %told.listen, discovery = %told.discovery, "serves");
+        let floor = Floor::new(poll, clock, unix * 1000.0 - now, told.door, told.sockets, told.discovery);
+        let mut platform = Platform {
+            desk: Desk::new(told.start, now),
+            floor,
+            stood: Stood::new(now, round),
+            listener: Some(listener),
+            accepts_from: now,
+            term,
+            hang_up,
+            path: path.to_path_buf(),
+            ready_at: now + READY_WITHOUT_LIST,
+            next_command: 0,
+            tells_at: now + TELL_EVERY,
+        };
+        if let Some(known) = told.known {
+            let entries = platform.floor.listed(&known);
+            platform.desk.listed(now, News::Remembered, &entries);
+        }
+        Ok(platform)
+    }
+
+    fn serve(&mut self) -> io::Result<()> {
+        let mut woken = Woken::default();
+        loop {
+            self.settle_all();
+            if self.floor.leaving.closed(self.floor.now) && self.ended() {
+                tracing::info!(counts = ?self.floor.counts, "ended");
+                return Ok(());
+            }
+            let now = self.floor.clock.now();
+            let sleep = (self.wakes_at() - now).clamp(0.0, MOST_SLEEP);
+            self.stood.sleeps(now, sleep);
+            self.floor.poll.wait(&mut woken, Some(Clock::until(now, now + sleep)))?;
+            self.floor.now = self.floor.clock.now();
+            self.stood.woke(self.floor.now);
+            self.floor.age = self.stood.age();
+            for key in woken.writable.drain(..) {
+                if let Some(key) = key.checked_sub(FIRST_KEY) {
+                    self.writable(key);
+                }
+            }
+            for key in woken.readable.drain(..) {
+                match key {
+                    LISTENER => self.accept(),
+                    TERM => {
+                        if signalled(&mut self.term) && self.floor.leaving.asked(self.floor.now) {
+                            return Ok(());
+                        }
+                        tracing::info!(in_hand = self.desk.in_hand(), "asked to end");
+                    }
+                    HANG_UP => {
+                        signalled(&mut self.hang_up);
+                        self.read_anew();
+                    }
+                    key => self.readable(key - FIRST_KEY),
+                }
+            }
+            self.timed();
+        }
+    }
+
+    fn wakes_at(&self) -> Ms {
+        let floor = &self.floor;
+        let times =
+            [floor.timers.next_at(), floor.watch.late_at(), Some(self.tells_at), floor.leaving.closes_at()];
+        let listens =
+            self.listener.as_ref().filter(|_| self.accepts_from > floor.now).map(|_| self.accepts_from);
+        times.into_iter().flatten().chain(listens).fold(floor.wakes_at, f64::min)
+    }
+
+    /// Whether nothing is owed any more.
+    fn ended(&self) -> bool {
+        let owing = |peer: &Peer| matches!(peer, Peer::Client(c) if c.busy());
+        self.floor.commands.is_empty() && !self.floor.peers.iter().any(|(_, peer)| owing(peer))
+    }
+
+    /// Tells the desk what is owed to it and does what it wants, until nothing is left to do now.
+    fn settle_all(&mut self) {
+        loop {
+            for (command, answer) in std::mem::take(&mut self.floor.owed) {
+                self.desk.outcome(self.floor.now, command, answer, &mut self.floor);
+                self.floor.release(command);
+            }
+            self.desk.run(self.floor.now, &mut self.floor);
+            if std::mem::take(&mut self.floor.wants_list) {
+                self.call();
+            }
+            for key in std::mem::take(&mut self.floor.again) {
+                self.flush_client(key);
+                self.requests(key);
+            }
+            if self.floor.owed.is_empty() && self.floor.again.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = &mut self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => self.floor.accept(stream),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    // No descriptor is left, or the newcomer has gone: without a rest the loop would spin.
+                    self.floor.make_room();
+                    self.accepts_from = self.floor.now + ACCEPT_REST;
+                    _ = listener.watch(false, false);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn timed(&mut self) {
+        let now = self.floor.now;
+        while let Some(timed) = self.floor.timers.due(now) {
+            match timed {
+                Timed::Dial(key, serial) => {
+                    let late = |l: &mut floor::Link| l.serial == serial && l.stream.connecting();
+                    if self.floor.link(key).is_some_and(late) {
+                        self.floor.end_link(key, Sign::Late);
+                    }
+                }
+                Timed::HandOff(command, hand_off) => self.floor.give_up(command, hand_off, Sign::Late),
+                Timed::Client(key, serial) => self.client_late(key, serial),
+            }
+        }
+        if self.floor.watch.late_at().is_some_and(|at| now >= at) {
+            self.call_failed("no answer in time");
+        }
+        for key in self.floor.pool.retired(now) {
+            self.floor.drop_link(key);
+        }
+        if now >= self.accepts_from {
+            if let Some(listener) = &mut self.listener {
+                _ = listener.watch(true, false);
+            }
+        }
+        if self.floor.leaving.closed(now) && self.listener.take().is_some() {
+            let idle = |peer: &Peer| matches!(peer, Peer::Client(c) if !c.busy());
+            let idle: Vec<usize> =
+                self.floor.peers.iter().filter(|(_, peer)| idle(peer)).map(|(key, _)| key).collect();
+            idle.into_iter().for_each(|key| _ = self.floor.drop_client(key));
+        }
+        if now >= self.tells_at {
+            self.tells_at = now + TELL_EVERY;
+            let floor = &self.floor;
+            tracing::info!(
+                in_hand = floor.commands.len(), clients = floor.clients, peers = floor.peers.len(),
+                nodes = floor.nodes.len(), counts = ?floor.counts, "counters"
+            );
+        }
+    }
+
+    /// A client's time is over: one that sent nothing whole is told so, or let go.
+    fn client_late(&mut self, key: usize, serial: u64) {
+        let now = self.floor.now;
+        let Some(client) = self.floor.client(key).filter(|c| c.serial == serial) else { return };
+        client.timed = false;
+        let ends = client.began + clients::PATIENCE;
+        if client.closing {
+            self.floor.drop_client(key);
+        } else if client.busy() {
+            // It is owed something and is not looked at until that is done.
+        } else if !client.stream.input().is_empty() && now < ends - 1.0 {
+            client.timed = true;
+            self.floor.timers.set(ends, Timed::Client(key, serial));
+        } else if !client.stream.input().is_empty() {
+            self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
+        } else if !client.served {
+            self.floor.drop_client(key);
+        }
+    }
+
+    fn writable(&mut self, key: usize) {
+        match self.floor.peers.get_mut(key) {
+            Some(Peer::Client(_)) => self.flush_client(key),
+            Some(Peer::Link(_)) => self.floor.flush_link(key),
+            Some(Peer::Call(call)) if call.stream.flush().is_err() => {
+                self.call_failed("the connection broke")
+            }
+            Some(Peer::Call(_)) | None => {}
+        }
+    }
+
+    fn readable(&mut self, key: usize) {
+        match self.floor.peers.get(key) {
+            Some(Peer::Client(_)) => self.read_client(key),
+            Some(Peer::Link(_)) => self.floor.read_link(key),
+            Some(Peer::Call(_)) => self.read_call(key),
+            None => {}
+        }
+    }
+
+    fn client_gone(&mut self, key: usize) {
+        if let Some(command) = self.floor.drop_client(key) {
+            self.floor.counts.gone += 1;
+            if let Some(open) = self.floor.commands.get_mut(&command) {
+                open.client = None;
+            }
+            self.desk.abandoned(self.floor.now, command);
+            self.floor.release(command);
+        }
+    }
+
+    fn flush_client(&mut self, key: usize) {
+        let now = self.floor.now;
+        let Some(client) = self.floor.client(key) else { return };
+        if client.stream.flush().is_err() {
+            return self.client_gone(key);
+        }
+        if client.closing && client.open.is_none() && client.stream.pending() == 0 {
+            // What it still sends is read for a while and thrown away: an end with bytes unread would take the
+            // answer away from a client that has not read it yet.
+            client.stream.end_writing();
+            let serial = client.serial;
+            self.floor.timers.set(now + clients::LINGER, Timed::Client(key, serial));
+        }
+    }
+
+    fn read_client(&mut self, key: usize) {
+        let (now, age) = (self.floor.now, self.floor.age);
+        let Some(client) = self.floor.client(key) else { return };
+        let empty = client.stream.input().is_empty();
+        let filled = client.stream.fill_to(http1::MOST_HEAD + http1::MOST_BODY);
+        // A connection that is not read says only that it is over.
+        if filled.is_err() || !client.stream.reading() {
+            return self.client_gone(key);
+        }
+        if client.closing {
+            return client.stream.discard();
+        }
+        if empty {
+            client.began = now - age;
+        }
+        if empty || client.open.is_none() {
+            client.came = now - age;
+        }
+        // Early bytes wait within a bound; the rest waits at the client.
+        if matches!(filled, Ok(true)) && client.open.is_some() {
+            _ = client.stream.set_reading(false);
+        }
+        self.requests(key);
+    }
+
+    /// Takes the next request of a client, if it is whole and nothing is open.
+    fn requests(&mut self, key: usize) {
+        let (now, ready) = (self.floor.now, self.ready());
+        let Some(client) = self.floor.client(key) else { return };
+        if client.open.is_some() || client.closing || client.stream.input().is_empty() {
+            return;
+        }
+        _ = client.stream.set_reading(true);
+        let mut heads = client.heads.clone();
+        let input = client.stream.take_input();
+        let head = match heads.end(&input) {
+            Ok(Some(head)) => head,
+            Ok(None) => {
+                client.heads = heads;
+                client.stream.give_back(input, 0);
+                return self.floor.client_waits(key);
+            }
+            Err(bad) => return self.floor.refuse(key, bad.into(), true),
+        };
+        let request = match http1::request(&input[..head]) {
+            Ok(request) => request,
+            Err(refused) => return self.floor.refuse(key, refused, true),
+        };
+        let whole = head + request.body;
+        if input.len() < whole {
+            // The head is found again when the body is there; it is short.
+            client.stream.give_back(input, 0);
+            return self.floor.client_waits(key);
+        }
+        client.heads = http1::Heads::default();
+        let came = client.came;
+        (client.served, client.since, client.last) = (true, now, request.close);
+        if !http1::begins_like_a_request(&input[whole..]) {
+            let why = "the length is not that of the body";
+            return self.floor.refuse(key, Refused { status: 400, why }, true);
+        }
+        match self.taken(key, &request, &input[head..whole], now - came, ready) {
+            Ok(()) => {}
+            Err(refused) => self.floor.refuse(key, refused, false),
+        }
+        if let Some(client) = self.floor.client(key) {
+            client.stream.give_back(input, whole);
+            // What is left came early: it is as old as the last bytes at most.
+            client.began = now;
+        }
+    }
+
+    /// Takes a request as a command, or answers it as a question about this host.
+    fn taken(
+        &mut self,
+        key: usize,
+        request: &http1::Request,
+        body: &[u8],
+        used: Ms,
+        ready: bool,
+    ) -> Result<(), Refused> {
+        if request.target == "/ready" && request.method == "GET" {
+            match ready {
+                true => self.floor.reply(key, 200, &[], b"ready\n", false),
+                false => self.floor.reply(key, 503, &[], b"not ready\n", false),
+            }
+            return Ok(());
+        }
+        let id = ask::id(request)?;
+        self.next_command += 1;
+        let number = self.next_command;
+        let taken = ask::command(request, &self.floor.door, used, number)?;
+        if self.floor.ids.contains_key(id) {
+            return Err(Refused { status: 409, why: "the X-Request-Id is open already" });
+        }
+        let once = |name, why| request.fields.one(name).map_err(|_| Refused { status: 400, why });
+        let fingerprint = once("idempotency-key", "there may be one Idempotency-Key")?;
+        let mut head = Vec::with_capacity(256);
+        let length = body.len().to_string();
+        let mut fields: Vec<(&str, &[u8])> = Vec::new();
+        for name in ["Host", "X-Request-Id", "X-Class", "X-Qos-Policy", "X-Placement"] {
+            let value = once(name, "a field stands twice")?;
+            fields.extend(value.map(|value| (name, value)));
+        }
+        fields.extend(fingerprint.map(|value| ("Idempotency-Key", value)));
+        fields.extend((request.method != "GET").then_some(("Content-Length", length.as_bytes())));
+        http1::write_request_head(&mut head, request.method, request.target, &fields);
+        let open = Open { client: Some(key), id: id.to_string(), head, body: body.to_vec(), out: None };
+        self.floor.ids.insert(id.to_string(), number);
+        self.floor.commands.insert(number, open);
+        self.floor.counts.taken += 1;
+        if let Some(client) = self.floor.client(key) {
+            client.open = Some(number);
+        }
+        self.desk.take(self.floor.now, taken, &mut self.floor);
+        Ok(())
+    }
+
+    fn ready(&self) -> bool {
+        self.floor.now >= self.ready_at && !self.floor.leaving.goes()
+    }
+
+    /// Calls discovery, if no call is out.
+    fn call(&mut self) {
+        let now = self.floor.now;
+        if self.floor.watch.is_out() {
+            return;
+        }
+        let target = self.floor.watch.call(now);
+        let address = self.floor.discovery;
+        let key = match self.floor.call {
+            Some(key) => Ok(key),
+            None => self.floor.enter(|poll, key| {
+                Ok(Peer::Call(Call {
+                    stream: Stream::connect(poll, address, key)?,
+                    answers: Answers::default(),
+                }))
+            }),
+        };
+        let host = address.to_string();
+        let Ok(key) = key else { return self.call_failed("no connection") };
+        self.floor.call = Some(key);
+        let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
+        http1::write_request_head(call.stream.output(), "GET", &target, &[("Host", host.as_bytes())]);
+        call.stream.output().extend_from_slice(b"\r\n");
+        if call.stream.flush().is_err() {
+            self.call_failed("the connection broke");
+        }
+    }
+
+    fn end_call(&mut self) {
+        if let Some(key) = self.floor.call.take() {
+            self.floor.peers.try_remove(key);
+        }
+    }
+
+    fn call_failed(&mut self, why: &str) {
+        self.end_call();
+        if !self.floor.watch.is_out() {
+            return;
+        }
+        self.floor.watch.failed();
+        self.floor.counts.lists_failed += 1;
+        if self.floor.counts.lists_failed.is_power_of_two() {
+            tracing::warn!(times = self.floor.counts.lists_failed, why, "discovery failed");
+        }
+        self.desk.listed(self.floor.now, News::Failed, &[]);
+    }
+
+    fn read_call(&mut self, key: usize) {
+        let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
+        let end = call.stream.fill_to(2 * http1::MOST_BODY);
+        let input = call.stream.take_input();
+        let (used, answer) = match call.answers.read(&input) {
+            Ok((used, answer)) => (used, answer),
+            Err(_) => return self.call_failed("the answer is spoilt"),
+        };
+        let behind = used < input.len();
+        call.stream.give_back(input, used);
+        let Some(answer) = answer else {
+            if end.is_err() {
+                self.call_failed("the connection ended");
+            }
+            return;
+        };
+        if !self.floor.watch.is_out() || answer.status != 200 {
+            return self.call_failed("an answer that is none");
+        }
+        let listing = match discovery::parsed(&answer.body) {
+            Ok(listing) => listing,
+            Err(why) => return self.call_failed(&why),
+        };
+        let Some(news) = self.floor.watch.answered(&listing) else {
+            return self.call_failed("changes to a list that is not known");
+        };
+        if behind || end.is_err() || answer.close {
+            self.end_call();
+        }
+        self.floor.counts.lists += 1;
+        let entries = self.floor.listed(&listing);
+        self.desk.listed(self.floor.now, news, &entries);
+        self.ready_at = self.ready_at.min(self.floor.now);
+        // A watch goes on as long as the next call comes soon after the last answer.
+        self.call();
+    }
+
+    /// The file was replaced: discovery's address may be another. A file that is no good changes nothing.
+    fn read_anew(&mut self) {
+        let told = match config::read(&self.path) {
+            Ok(told) => told,
+            Err(why) => return tracing::error!(why, "the new configuration is not taken"),
+        };
+        if told.discovery == self.floor.discovery {
+            return tracing::info!("the new configuration changes nothing");
+        }
+        tracing::info!(discovery = %told.discovery, "discovery is at another address");
+        self.floor.discovery = told.discovery;
+        self.end_call();
+        self.floor.watch.forget();
+        self.call();
+    }
+}
+
+/// Takes what a signal left; whether one came.
+fn signalled(from: &mut Registered<UnixStream>) -> bool {
+    let mut marks = [0; 64];
+    let mut any = false;
+    while matches!(from.read(&mut marks), Ok(n) if n > 0) {
+        any = true;
+    }
+    any
+}
--- /dev/null
+++ b/crates/platform/src/nodes.rs
@@ -0,0 +1,76 @@
+//! Which connection to a node a hand-off takes, and which give way; free of I/O.
+//!
+//! A connection is named by the loop's key. It rests here from the end of an answer that was whole until it is
+//! taken or retired; all others are the loop's.
+
+use magpiewick::Ms;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A connection is retired when it has rested for this part of the time after which its node closes it: a
+/// process that stood still meanwhile would else write into one that is about to end.
+const RESTS: f64 = 0.7;
+
+pub struct Pool {
+    /// By node: the keys of its resting connections, each with since when; the last one came last.
+    resting: BTreeMap<u32, VecDeque<(usize, Ms)>>,
+    idle: Option<Ms>,
+}
+
+impl Pool {
+    /// `idle`: after how long a node closes a resting connection; none: never.
+    pub fn new(idle: Option<Ms>) -> Pool {
+        Pool { resting: BTreeMap::new(), idle: idle.map(|idle| idle * RESTS) }
+    }
+
+    pub fn rests(&mut self, now: Ms, node: u32, key: usize) {
+        self.resting.entry(node).or_default().push_back((key, now));
+    }
+
+    /// The connection that rested last: the others come to their end unused, where there are more than needed.
+    pub fn take(&mut self, node: u32) -> Option<usize> {
+        let resting = self.resting.get_mut(&node)?;
+        let taken = resting.pop_back().map(|(key, _)| key);
+        if resting.is_empty() {
+            self.resting.remove(&node);
+        }
+        taken
+    }
+
+    /// Takes a connection out that ended while it rested.
+    pub fn ended(&mut self, node: u32, key: usize) {
+        let Some(resting) = self.resting.get_mut(&node) else { return };
+        resting.retain(|r| r.0 != key);
+        if resting.is_empty() {
+            self.resting.remove(&node);
+        }
+    }
+
+    /// All that rest at a node, which is not sent to any more.
+    pub fn leaves(&mut self, node: u32) -> Vec<usize> {
+        self.resting.remove(&node).into_iter().flatten().map(|r| r.0).collect()
+    }
+
+    /// The one that rested longest of all: it gives way where there are no more descriptors.
+    pub fn gives_way(&mut self) -> Option<usize> {
+        let oldest = self.resting.iter().filter_map(|(node, r)| Some((r.front()?.1, *node)));
+        let (_, node) = oldest.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let key = self.resting.get_mut(&node)?.pop_front().map(|r| r.0);
+        if self.resting.get(&node).is_some_and(VecDeque::is_empty) {
+            self.resting.remove(&node);
+        }
+        key
+    }
+
+    /// Those that have rested for too long.
+    pub fn retired(&mut self, now: Ms) -> Vec<usize> {
+        let Some(idle) = self.idle else { return Vec::new() };
+        let mut retired = Vec::new();
+        for resting in self.resting.values_mut() {
+            while let Some((key, _)) = resting.pop_front_if(|r| now - r.1 >= idle) {
+                retired.push(key);
+            }
+        }
+        self.resting.retain(|_, resting| !resting.is_empty());
+        retired
+    }
+}
--- /dev/null
+++ b/crates/platform/src/outcome.rs
@@ -0,0 +1,33 @@
+//! What the end of a hand-off proves; free of I/O.
+
+use magpiewick::Outcome;
+
+/// What was seen of a hand-off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A whole answer.
+    Answer {
+        status: u16,
+        not_run: bool,
+    },
+    /// Bytes that are no answer.
+    Spoilt,
+    /// The connection could not be made, broke or ended.
+    Broke,
+    /// The time for the connection or for the hand-off ran out, or the host gave up.
+    Late,
+    GivenUp,
+}
+
+/// `written`: the kernel took the last byte. Only what the platform names as proof counts as never run.
+pub fn outcome(sign: Sign, written: bool) -> Outcome {
+    match sign {
+        Sign::Answer { status: 200, .. } => Outcome::Settled,
+        Sign::Answer { status: 503 | 504, not_run: true } => Outcome::Full,
+        Sign::Answer { .. } => Outcome::Error,
+        _ if !written => Outcome::NoConnection,
+        Sign::Spoilt | Sign::Broke => Outcome::Reset,
+        Sign::Late => Outcome::TimedOut,
+        Sign::GivenUp => Outcome::Cancelled,
+    }
+}
