--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -272,10 +272,13 @@
         match self.floor.peers.get_mut(key) {
             Some(Peer::Client(_)) => self.flush_client(key),
             Some(Peer::Link(_)) => self.floor.flush_link(key),
-            Some(Peer::Call(call)) if call.stream.flush().is_err() => {
-                self.call_failed("the connection broke")
+            Some(Peer::Call(call)) => {
+                let flushed = call.stream.flush();
+                if flushed.is_err() {
+                    self.call_failed("the connection broke");
+                }
             }
-            Some(Peer::Call(_)) | None => {}
+            None => {}
         }
     }
 
