Test the platform's door without the bench, and stop reading what a refused client still sends

Tests: framing on every split and on hostile bytes, each row of the outcome table, the pool and the clients' order beside plain models, both forms of the settings, and the whole host as a process between stand-ins (bad clients, smuggling, bad nodes, discovery, signals, descriptors).

One failed at first: a refused body of 60 MB was read to its end within the 300 ms in which a refusal lingers (Platform::read_client threw away without bound). It stops after 256 KiB now.

--- /dev/null
+++ b/crates/cli/tests/platform/rig.rs
@@ -0,0 +1,435 @@
+//! A host of the platform as a process, with stand-ins of the platform's nodes and discovery on loopback. They read
+//! and write HTTP by hand, so that nothing of the program vouches for itself.
+
+use serde_json::{json, Value};
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; what is not there by then is not coming.
+pub const SOON: Duration = Duration::from_secs(10);
+
+/// One HTTP message as it came: its first line, its fields and its body.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub line: String,
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// None where the peer ended before a message was whole.
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut line = String::new();
+        let mut next = |from: &mut dyn BufRead| {
+            line.clear();
+            from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            line.strip_suffix("\r\n").map(str::to_string)
+        };
+        let first = next(from)?;
+        let mut fields = Vec::new();
+        loop {
+            let field = next(from)?;
+            match field.split_once(": ") {
+                Some((name, value)) => fields.push((name.to_ascii_lowercase(), value.to_string())),
+                None => break,
+            }
+        }
+        let mut message = Message { line: first, fields, body: Vec::new() };
+        let length = message.field("content-length").map_or(0, |n| n.parse().unwrap());
+        message.body = vec![0; length];
+        from.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|f| f.0 == name).map(|f| f.1.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+}
+
+/// What a node does with a request.
+#[derive(Clone, Debug)]
+pub enum Does {
+    /// Writes these bytes; `{body}` stands for the answer made for the request.
+    Writes(&'static str),
+    /// As that, then it ends the connection.
+    WritesAndEnds(&'static str),
+    /// Breaks the connection off.
+    Resets,
+    /// Nothing, and keeps the connection.
+    Nothing,
+    /// Serves after a while.
+    Waits(Duration),
+}
+
+pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{body}";
+pub const FULL: &str = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+pub const FAILED: &str = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+
+/// The answer that a node makes for a request: its id, filled up.
+pub fn made_for(id: &str) -> String {
+    format!("{id:-<24}")
+}
+
+/// A stand-in node: what it is to do next, and what reached it.
+#[derive(Default)]
+pub struct Node {
+    script: Mutex<VecDeque<Does>>,
+    /// What it does when the script is over, in place of serving.
+    always: Mutex<Option<Does>>,
+    pub got: Mutex<Vec<Message>>,
+    pub connections: AtomicU64,
+    came: Condvar,
+}
+
+impl Node {
+    pub fn does(&self, script: &[Does]) {
+        self.script.lock().unwrap().extend(script.iter().cloned());
+    }
+
+    pub fn always(&self, does: Does) {
+        *self.always.lock().unwrap() = Some(does);
+    }
+
+    pub fn count(&self) -> usize {
+        self.got.lock().unwrap().len()
+    }
+
+    /// Waits until so many requests have come in all.
+    pub fn has_got(&self, n: usize) {
+        let got = self.got.lock().unwrap();
+        let (got, late) = self.came.wait_timeout_while(got, SOON, |got| got.len() < n).unwrap();
+        assert!(!late.timed_out(), "{} of {n} requests came", got.len());
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        self.connections.fetch_add(1, Ordering::SeqCst);
+        let (mut reader, mut stream) = (BufReader::new(stream.try_clone().ok()?), stream);
+        loop {
+            let message = Message::read(&mut reader)?;
+            let id = message.field("x-request-id").unwrap_or_default().to_string();
+            self.got.lock().unwrap().push(message);
+            self.came.notify_all();
+            let next = self.script.lock().unwrap().pop_front();
+            let does = next.or_else(|| self.always.lock().unwrap().clone()).unwrap_or(Does::Writes(SERVED));
+            let filled = |bytes: &str| bytes.replace("{body}", &made_for(&id)).into_bytes();
+            match does {
+                Does::Writes(bytes) => stream.write_all(&filled(bytes)).ok()?,
+                Does::WritesAndEnds(bytes) => {
+                    stream.write_all(&filled(bytes)).ok()?;
+                    _ = stream.shutdown(Shutdown::Both);
+                    return None;
+                }
+                Does::Resets => {
+                    _ = stream.shutdown(Shutdown::Both);
+                    return None;
+                }
+                Does::Nothing => {}
+                Does::Waits(time) => {
+                    std::thread::sleep(time);
+                    stream.write_all(&filled(SERVED)).ok()?;
+                }
+            }
+        }
+    }
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn accept(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+}
+
+/// What discovery does with its calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Mood {
+    #[default]
+    Good,
+    /// Reads calls and answers none.
+    Silent,
+    Busy,
+    /// Answers with what is no list.
+    Odd,
+}
+
+#[derive(Default)]
+pub struct List {
+    generation: u64,
+    instances: Vec<Value>,
+    mood: Mood,
+    calls: Vec<String>,
+}
+
+/// A stand-in discovery.
+#[derive(Default)]
+pub struct Discovery {
+    list: Mutex<List>,
+    changed: Condvar,
+}
+
+impl Discovery {
+    pub fn new(instances: Vec<Value>) -> (Arc<Discovery>, SocketAddr) {
+        let discovery = Arc::new(Discovery::default());
+        discovery.tells(instances);
+        let (listener, address) = listen();
+        let serving = discovery.clone();
+        accept(listener, move |stream| _ = serving.serve(stream));
+        (discovery, address)
+    }
+
+    pub fn tells(&self, instances: Vec<Value>) {
+        let mut list = self.list.lock().unwrap();
+        (list.generation, list.instances) = (list.generation + 1, instances);
+        self.changed.notify_all();
+    }
+
+    pub fn mood(&self, mood: Mood) {
+        self.list.lock().unwrap().mood = mood;
+        self.changed.notify_all();
+    }
+
+    pub fn calls(&self) -> Vec<String> {
+        self.list.lock().unwrap().calls.clone()
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let (mut reader, mut stream) = (BufReader::new(stream.try_clone().ok()?), stream);
+        loop {
+            let message = Message::read(&mut reader)?;
+            let target = message.line.split(' ').nth(1)?.to_string();
+            let named =
+                |name: &str| target.split(['?', '&']).find_map(|p| p.strip_prefix(name)?.parse().ok());
+            let (after, wait): (Option<u64>, Option<u64>) = (named("after="), named("wait_ms="));
+            let mut list = self.list.lock().unwrap();
+            list.calls.push(target);
+            let wait = Duration::from_millis(wait.unwrap_or(0));
+            let same = |list: &mut List| Some(list.generation) == after && list.mood == Mood::Good;
+            list = self.changed.wait_timeout_while(list, wait, same).unwrap().0;
+            let news = if Some(list.generation) == after { &[][..] } else { &list.instances[..] };
+            // A whole list each time that there is news: the simplest that the protocol allows.
+            let whole = after != Some(list.generation);
+            let told = json!({"generation": list.generation, "reset": whole, "instances": news}).to_string();
+            let (status, body) = match list.mood {
+                Mood::Silent => continue,
+                Mood::Good => (200, told),
+                Mood::Busy => (503, String::new()),
+                Mood::Odd => (200, "[1,2".to_string()),
+            };
+            drop(list);
+            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+        }
+    }
+}
+
+pub fn instance(id: &str, address: SocketAddr, shard: usize, lifecycle: &str) -> Value {
+    json!({"instanceId": id, "hostPort": address.to_string(), "zone": "a", "machineType": "m", "cell": shard,
+        "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+}
+
+fn settings() -> Value {
+    json!({
+        "balancers": 1, "zones": ["a"], "registry_mode": "ask", "round_ns": 2_000_000,
+        "profiles": [
+            {"name": "read", "slo_ns": 500_000_000u64, "hard_limit_ns": 3_000_000_000u64, "worth": 3.0,
+                "semantics": "idempotent", "window_ns": 5_000_000_000u64},
+            {"name": "write", "slo_ns": 500_000_000u64, "hard_limit_ns": 3_000_000_000u64, "worth": 3.0,
+                "semantics": "deduplicated", "key_scope": "cell", "window_ns": 1_500_000_000u64},
+            {"name": "once", "slo_ns": 500_000_000u64, "hard_limit_ns": 3_000_000_000u64, "worth": 3.0,
+                "semantics": "at_most_once"},
+        ],
+        "service_levels": [{"name": "gold", "price": 1.0, "proportion": 1.0, "rate": 50.0}],
+        "limits": {"cancelling": true, "max_attempts": 3, "retry_after": true, "max_retry_after_ns": 500_000_000u64,
+            "dial_timeout_ns": 250_000_000u64, "keepalive_ns": 30_000_000_000u64},
+        "safety": {"must_ask_in_ns": 10_000_000_000u64, "cold_share": 0.15, "cold_ns": 1_000_000_000u64,
+            "tip_after_ns": 2_000_000_000u64, "fall_multiple": 4.0, "order_pause_ns": 100_000_000u64},
+        "specifics": {"changes_data": [false, true, true], "n_shards": 4, "units_top": 6, "unit_mean": 2.0,
+            "cold_bears": 34.0},
+    })
+}
+
+/// One host with its world. What it started ends with it.
+pub struct Rig {
+    pub nodes: Vec<Arc<Node>>,
+    pub addresses: Vec<SocketAddr>,
+    pub discovery: Arc<Discovery>,
+    pub discovery_at: SocketAddr,
+    pub host: SocketAddr,
+    config: Value,
+    file: PathBuf,
+    child: Child,
+}
+
+static RIGS: AtomicU64 = AtomicU64::new(0);
+
+impl Rig {
+    /// A host that is ready, with a node for each shard.
+    pub fn new(nodes: usize) -> Rig {
+        Rig::with(nodes, 512)
+    }
+
+    pub fn with(nodes: usize, sockets: usize) -> Rig {
+        let (mut stand_ins, mut addresses, mut instances) = (Vec::new(), Vec::new(), Vec::new());
+        for shard in 0..nodes {
+            let (node, (listener, address)) = (Arc::new(Node::default()), listen());
+            let serving = node.clone();
+            accept(listener, move |stream| _ = serving.serve(stream));
+            instances.push(instance(&format!("s-{shard}"), address, shard, "SERVING"));
+            stand_ins.push(node);
+            addresses.push(address);
+        }
+        let (discovery, discovery_at) = Discovery::new(instances);
+        // A port that was free a moment ago.
+        let host = listen().1;
+        let config = json!({
+            "name": "n0", "listen": host.to_string(), "discovery": discovery_at.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+            "known": {"generation": 0, "reset": true, "instances": []}, "settings": settings(),
+        });
+        let number = RIGS.fetch_add(1, Ordering::SeqCst);
+        let file = std::env::temp_dir().join(format!("magpiewick-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let child = program(&file);
+        let (nodes, child) = (stand_ins, child);
+        let rig = Rig { nodes, addresses, discovery, discovery_at, host, config, file, child };
+        rig.is_ready();
+        rig
+    }
+
+    fn is_ready(&self) {
+        let until = Instant::now() + SOON;
+        let ready = b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+        while Instant::now() < until {
+            if let Ok(mut client) = Client::to(self.host) {
+                if client.asks(ready).is_some_and(|m| m.status() == 200) {
+                    return;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the host did not become ready");
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.host).unwrap()
+    }
+
+    /// Names another discovery in the file and tells the host so.
+    pub fn turns_to(&mut self, discovery: SocketAddr) {
+        self.config["discovery"] = json!(discovery.to_string());
+        std::fs::write(&self.file, self.config.to_string()).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn spoils_file(&self) {
+        std::fs::write(&self.file, "{").unwrap();
+        self.signal("HUP");
+    }
+
+    /// Sends a signal to the host by its id.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// The descriptors that the host holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    pub fn ends(&mut self) -> ExitStatus {
+        let until = Instant::now() + SOON;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the host did not end");
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        // Whatever a test has found, its process and file must not outlive it.
+        _ = self.child.kill();
+        _ = self.child.wait();
+        _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn program(file: &std::path::Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_magpiewick"));
+    command.arg("platform").env("PROXY_CONFIG", file).stderr(Stdio::null()).stdout(Stdio::null());
+    command.spawn().unwrap()
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn to(host: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(host)?;
+        stream.set_read_timeout(Some(SOON))?;
+        Ok(Client { reader: BufReader::new(stream.try_clone()?), stream })
+    }
+
+    pub fn sends(&mut self, bytes: &[u8]) {
+        // The host may end a connection before it has read all: what it answers is what counts.
+        _ = self.stream.write_all(bytes);
+    }
+
+    /// The next answer; none where the connection ended.
+    pub fn hears(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
+    pub fn asks(&mut self, bytes: &[u8]) -> Option<Message> {
+        self.sends(bytes);
+        self.hears()
+    }
+
+    /// Whether the connection ends without another byte.
+    pub fn ends(&mut self) -> bool {
+        let mut byte = [0];
+        !matches!(self.reader.read(&mut byte), Ok(n) if n > 0)
+    }
+}
+
+/// A command's bytes: its id, band, shard and time limit in milliseconds. Reads have no body.
+pub fn command(id: &str, band: &str, shard: i32, limit: u32) -> Vec<u8> {
+    let piece = id.bytes().fold(17u64, |sum, b| sum.wrapping_mul(31).wrapping_add(u64::from(b)));
+    let (method, body) = if band == "read" { ("GET", "") } else { ("PUT", "some bytes") };
+    let length = if band == "read" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /api/00000003b4d60021/{piece:016x}?v=1 HTTP/1.1\r\nHost: backend.local\r\n\
+        X-Request-Id: {id}\r\nX-Class: {band}\r\nX-Qos-Policy: gold\r\nX-Deadline: {limit}m\r\n\
+        Idempotency-Key: key-{id}\r\n{length}X-Placement: units=2,shard={shard},hosts=1\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/crates/http1/tests/framing.rs
@@ -0,0 +1,231 @@
+//! Framing against a plain model and on hostile bytes: any split of the bytes gives the same result, and no bytes
+//! panic or make the reader hold more than its bounds.
+
+use magpiewick_http1::{
+    begins_like_a_request, request, write_answer, write_request_head, Answer, Answers, Heads, Spoilt,
+    MOST_BODY, MOST_HEAD,
+};
+use quickcheck::quickcheck;
+
+/// The status that a request's head is refused with; 0: it is good.
+fn refused(head: &str) -> u16 {
+    let end = match Heads::default().end(head.as_bytes()) {
+        Ok(Some(end)) => end,
+        Ok(None) => panic!("{head:?} has no end"),
+        Err(bad) => return magpiewick_http1::Refused::from(bad).status,
+    };
+    assert_eq!(end, head.len());
+    request(head.as_bytes()).map_or_else(|r| r.status, |_| 0)
+}
+
+fn put(fields: &str) -> String {
+    format!("PUT /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n")
+}
+
+#[test]
+fn a_body_is_framed_by_one_plain_length_or_refused() {
+    for (fields, status) in [
+        ("Content-Length: 5\r\n", 0),
+        ("Content-Length: 0\r\n", 0),
+        ("Content-Length: 65536\r\n", 0),
+        ("", 411),
+        ("Content-Length: 65537\r\n", 413),
+        ("Content-Length: 62914560\r\n", 413),
+        ("Content-Length: 99999999999999999999\r\n", 400),
+        ("Content-Length: -5\r\n", 400),
+        ("Content-Length: +5\r\n", 400),
+        ("Content-Length: 5, 5\r\n", 400),
+        ("Content-Length: 0x5\r\n", 400),
+        ("Content-Length: five\r\n", 400),
+        ("Content-Length:\r\n", 400),
+        ("Content-Length: 5\r\nContent-Length: 5\r\n", 400),
+        ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", 400),
+        ("Transfer-Encoding: chunked\r\n", 411),
+        ("Transfer-Encoding: chunked, identity\r\n", 411),
+        ("Content-Length: 5\r\nExpect: 100-continue\r\n", 417),
+    ] {
+        assert_eq!(refused(&put(fields)), status, "{fields:?}");
+    }
+}
+
+#[test]
+fn a_head_that_readers_could_take_in_two_ways_is_refused() {
+    for head in [
+        "GET /a HTTP/1.1\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n",
+        "GET /a HTTP/1.1\nHost: a\n\n",
+        "GET /a HTTP/1.1\r\nHost: a\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\rX: b\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost : a\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\r\nX(y): b\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\r\nX: \u{1}\r\n\r\n",
+        "nonsense\r\n\r\n",
+    ] {
+        assert_eq!(refused(head), 400, "{head:?}");
+    }
+    for head in ["GET /a HTTP/1.0\r\nHost: a\r\n\r\n", "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n"] {
+        assert_eq!(refused(head), 505, "{head:?}");
+    }
+    let many: String = (0..65).map(|i| format!("X{i}: y\r\n")).collect();
+    assert_eq!(refused(&put(&format!("Content-Length: 0\r\n{many}"))), 431);
+}
+
+#[test]
+fn a_head_without_end_is_refused_at_its_bound() {
+    let mut heads = Heads::default();
+    let endless = vec![b'a'; MOST_HEAD + 1];
+    assert!(heads.end(&endless[..MOST_HEAD - 1]).unwrap().is_none());
+    assert!(heads.end(&endless).is_err());
+}
+
+#[test]
+fn bytes_behind_a_request_are_another_or_show_a_wrong_length() {
+    for (bytes, good) in [
+        ("", true),
+        ("G", true),
+        ("GET", true),
+        ("GET ", true),
+        ("GET /x", true),
+        ("get /x", false),
+        ("xx", false),
+        (" /", false),
+        ("GET x", false),
+        ("\0", false),
+        ("AAAAAAAAAAAAAAAAAAAAAAAA", false),
+    ] {
+        assert_eq!(begins_like_a_request(bytes.as_bytes()), good, "{bytes:?}");
+    }
+}
+
+/// All answers in some bytes that come in pieces, and whether they went bad at last.
+fn answers(pieces: &[&[u8]]) -> (Vec<Answer>, bool) {
+    let (mut reader, mut input, mut found) = (Answers::default(), Vec::new(), Vec::new());
+    for piece in pieces {
+        input.extend_from_slice(piece);
+        loop {
+            match reader.read(&input) {
+                Err(Spoilt) => return (found, true),
+                Ok((used, answer)) => {
+                    input.drain(..used);
+                    match answer {
+                        Some(answer) => found.push(answer),
+                        None => break,
+                    }
+                }
+            }
+        }
+    }
+    (found, false)
+}
+
+fn split(bytes: &[u8], cuts: &[u16]) -> (Vec<Answer>, bool) {
+    let mut cuts: Vec<usize> = cuts.iter().map(|c| usize::from(*c) % (bytes.len() + 1)).collect();
+    cuts.sort_unstable();
+    cuts.push(bytes.len());
+    let mut at = 0;
+    let pieces: Vec<&[u8]> = cuts.into_iter().map(|c| &bytes[std::mem::replace(&mut at, c)..c]).collect();
+    answers(&pieces)
+}
+
+/// Every kind of good answer, one behind the other.
+const GOOD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n\
+    HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Rho: 3\r\n\r\nhello\
+    HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n\
+    HTTP/1.1 204 No Content\r\n\r\n\
+    HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+#[test]
+fn good_answers_are_read_whole() {
+    let (found, spoilt) = answers(&[GOOD]);
+    assert!(!spoilt);
+    let plain: Vec<(u16, &[u8], bool)> =
+        found.iter().map(|a| (a.status, a.body.as_slice(), a.close)).collect();
+    assert_eq!(
+        plain,
+        [(200, &b"hello"[..], false), (200, b"abcde", false), (204, b"", false), (503, b"", true)]
+    );
+    assert_eq!((found[0].field("x-rho"), found[3].field("X-NOT-RUN")), (Some("3"), Some("1")));
+}
+
+#[test]
+fn a_spoilt_answer_is_known_from_its_first_bad_byte() {
+    for bytes in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\n\r\n",
+        "HTTP/1.1 700 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "\0\u{1}noise",
+        "noise\r\n\r\n",
+    ] {
+        assert_eq!(answers(&[bytes.as_bytes()]), (vec![], true), "{bytes:?}");
+    }
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(17);
+    assert_eq!(answers(&[&interim]), (vec![], true));
+}
+
+quickcheck! {
+    fn any_split_gives_the_same_answers(cuts: Vec<u16>) -> bool {
+        split(GOOD, &cuts) == answers(&[GOOD])
+    }
+
+    fn any_split_of_changed_bytes_gives_the_same_answers(cuts: Vec<u16>, at: u16, byte: u8) -> bool {
+        let mut bytes = GOOD.to_vec();
+        let at = usize::from(at) % bytes.len();
+        bytes[at] = byte;
+        split(&bytes, &cuts) == answers(&[&bytes])
+    }
+
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>, cuts: Vec<u16>) -> bool {
+        let held: usize = split(&bytes, &cuts).0.iter().map(|a| a.body.len()).sum();
+        _ = request(&bytes);
+        _ = begins_like_a_request(&bytes);
+        held <= bytes.len() && held <= MOST_BODY
+    }
+
+    fn a_head_ends_at_the_same_byte_in_any_split(fields: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let text: String = fields.iter().map(|f| format!("X{f}: {f}\r\n")).collect();
+        let head = format!("GET / HTTP/1.1\r\n{text}\r\nrest");
+        let (mut heads, mut end, mut to) = (Heads::default(), None, 0);
+        for cut in cuts {
+            to = (to + usize::from(cut)).min(head.len());
+            if end.is_none() {
+                end = heads.end(&head.as_bytes()[..to]).unwrap();
+            }
+        }
+        let end = match end {
+            None => heads.end(head.as_bytes()).unwrap(),
+            end => end,
+        };
+        end == Some(head.len() - 4)
+    }
+
+    /// What is written is read back as it was meant.
+    fn what_is_written_is_read_back(status: u16, body: Vec<u8>, close: bool) -> bool {
+        let status = 200 + status % 300;
+        let mut bytes = Vec::new();
+        write_answer(&mut bytes, status, &[("X-A", b"b")], &body, close);
+        let (found, spoilt) = answers(&[&bytes]);
+        let [answer] = found.as_slice() else { return false };
+        !spoilt && answer.status == status && answer.body == body && answer.close == close
+            && answer.field("x-a") == Some("b")
+    }
+}
+
+#[test]
+fn a_written_request_is_a_good_one() {
+    let mut bytes = Vec::new();
+    write_request_head(&mut bytes, "PUT", "/a?b", &[("Host", b"h"), ("Content-Length", b"3")]);
+    bytes.extend_from_slice(b"\r\n");
+    let read = request(&bytes).unwrap();
+    assert_eq!((read.method, read.target, read.body, read.close), ("PUT", "/a?b", 3, false));
+    assert_eq!(read.fields.one("HOST"), Ok(Some(&b"h"[..])));
+}
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -50,6 +50,8 @@
     pub open: Option<u64>,
     /// Nothing more is read as requests: what is written goes out, then it ends.
     pub closing: bool,
+    /// Bytes that came after that and were thrown away.
+    pub thrown: usize,
     /// The client asked for the end after the open command's answer.
     pub last: bool,
 }
@@ -257,6 +259,7 @@
                 timed: true,
                 open: None,
                 closing: false,
+                thrown: 0,
                 last: false,
             }))
         });
--- a/crates/platform/src/leaving.rs
+++ b/crates/platform/src/leaving.rs
@@ -32,3 +32,18 @@
         self.closes_at().is_some_and(|at| now >= at)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_host_that_is_asked_to_end_takes_what_still_comes_first() {
+        let mut leaving = Leaving::default();
+        assert!(!leaving.goes() && !leaving.closed(1e9));
+        assert!(!leaving.asked(1000.0));
+        assert!(leaving.goes() && !leaving.closed(1400.0) && leaving.closed(1500.0));
+        assert!(leaving.asked(1200.0), "a second request ends it at once");
+        assert_eq!(leaving.closes_at(), Some(1500.0));
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -327,7 +327,12 @@
             return self.client_gone(key);
         }
         if client.closing {
-            return client.stream.discard();
+            client.thrown += client.stream.input().len();
+            client.stream.discard();
+            if client.thrown > clients::THROWN {
+                _ = client.stream.set_reading(false);
+            }
+            return;
         }
         if empty {
             client.began = now - age;
