Let a connection that breaks not hold its node back; one that is refused still does

Line at fault: Brain::judge set a node back for Reset (window halved, 50 ms of rest, doubling). Change: only Full and NoConnection set back. A dead process refuses the next connection, which costs one hand-off.

Test seen to fail before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -937,9 +937,9 @@
                 n.rest = FIRST_REST;
                 n.out[..place].iter_mut().for_each(|o| o.passed += 1);
             }
-            Outcome::Full | Outcome::NoConnection | Outcome::Reset => {
-                n.set_back(now, self.bounds.jam_floor, 0.5)
-            }
+            // A connection that broke is no sign of its node: one that died refuses the next. Guards nodes
+            // whose network breaks connections; it could cost a hand-off each where all break at once.
+            Outcome::Full | Outcome::NoConnection => n.set_back(now, self.bounds.jam_floor, 0.5),
             // A node that answered nothing until then is tried again with one command at a time. Where others
             // tell of its answers, one of its own is no sign: it may be the only one in seconds.
             Outcome::TimedOut | Outcome::Cancelled if silent => {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -479,6 +479,17 @@
     assert_eq!(sends(&w, other), 1, "the node rests though nothing ails it");
 }
 
+#[test]
+fn a_connection_that_breaks_holds_its_node_back_no_more_than_one_that_serves() {
+    let mut w = World::new(start());
+    let (reset, other) = (w.take(in_volume(1)), w.take(in_volume(2)));
+    w.outcome(reset, Outcome::Reset);
+    assert_eq!(sends(&w, reset), 2, "the node rests though it serves");
+    w.outcome(other, Outcome::NoConnection);
+    let next = w.take(in_volume(3));
+    assert_eq!(sends(&w, next), 0, "a node that refuses connections rests");
+}
+
 /// Ends each of these with proof that nothing ran.
 fn turn_away(w: &mut World, ids: &[usize]) {
     ids.iter().for_each(|id| w.outcome(*id, Outcome::Moot));
