--- a/crates/desk/src/indices.rs
+++ b/crates/desk/src/indices.rs
@@ -19,27 +19,63 @@
     }
 }
 
-/// How many keys are kept at least; more than a host can have in hand at once.
-const KEYS: usize = 100_000;
-
-/// Indices of keys, of which there is no end: those not met among the latest are forgotten.
-#[derive(Default)]
-pub struct Keys {
+/// Indices of ids of which there is no end, as of keys and volumes: those that were not met among the latest are
+/// forgotten, and their indices are given out again, so that nothing that is kept by index grows for ever. Whoever
+/// asks for more than `most` at once would see an index mean two things.
+pub struct Recent {
+    most: usize,
     latest: HashMap<u64, usize>,
     before: HashMap<u64, usize>,
+    free: Vec<usize>,
     next: usize,
 }
 
-impl Keys {
-    pub fn of(&mut self, key: u64) -> usize {
-        if self.latest.len() >= KEYS {
-            self.before = std::mem::take(&mut self.latest);
+impl Recent {
+    pub fn new(most: usize) -> Recent {
+        Recent { most, latest: HashMap::new(), before: HashMap::new(), free: Vec::new(), next: 0 }
+    }
+
+    pub fn of(&mut self, id: u64) -> usize {
+        if let Some(&index) = self.latest.get(&id) {
+            return index;
         }
-        let met = self.latest.get(&key).or_else(|| self.before.get(&key)).copied();
-        let index = met.unwrap_or_else(|| {
+        if self.latest.len() >= self.most {
+            let forgotten = std::mem::replace(&mut self.before, std::mem::take(&mut self.latest));
+            let from = self.free.len();
+            self.free.extend(forgotten.into_values());
+            // The map's own order is another in each process.
+            self.free[from..].sort_unstable_by(|a, b| b.cmp(a));
+        }
+        let index = self.before.remove(&id).or_else(|| self.free.pop()).unwrap_or_else(|| {
             self.next += 1;
             self.next
         });
-        *self.latest.entry(key).or_insert(index)
+        self.latest.insert(id, index);
+        index
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    quickcheck! {
+        /// A plain model: all ids in the order in which they were last met, each with the index that it had.
+        fn an_id_keeps_its_index_while_it_is_among_the_latest_and_no_two_share_one(ids: Vec<u8>) -> bool {
+            let (mut recent, mut met): (Recent, Vec<(u64, usize)>) = (Recent::new(5), Vec::new());
+            ids.into_iter().all(|id| {
+                let id = u64::from(id % 40);
+                let index = recent.of(id);
+                let before = met.iter().position(|m| m.0 == id);
+                // Five others at most have been met since, so it must still be known.
+                let kept = before.is_none_or(|at| met.len() - at > 5 || met[at].1 == index);
+                met.retain(|m| m.0 != id);
+                met.push((id, index));
+                let latest = &met[met.len().saturating_sub(5)..];
+                let alone = latest.iter().filter(|m| m.1 == index).count() == 1;
+                kept && alone && index <= 11
+            })
+        }
     }
 }
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -12,10 +12,15 @@
 
 pub use stood::Stood;
 
-use indices::{Indices, Keys};
+use indices::{Indices, Recent};
 use magpiewick::{Answer, Brain, Command, Due, Ending, Entry, Ms, News, Next, Outcome, Start, Told, Where};
 use std::collections::HashMap;
 
+/// How many keys and volumes are known at once; more than a host can have in hand. A volume that comes back after so
+/// many others finds its stores as another left them, which is as good as its own only where both have rested.
+const KEYS: usize = 100_000;
+const VOLUMES: usize = 20_000;
+
 /// A command on its way to a node: the number of its hand-off, counted from 0, and within what time its outcome
 /// is owed to the desk.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -110,8 +115,8 @@
     node_ids: Vec<u32>,
     /// By tag: the node, or none where several have it.
     tags: HashMap<u16, Option<usize>>,
-    volumes: Indices<u64>,
-    keys: Keys,
+    volumes: Recent,
+    keys: Recent,
     by_id: HashMap<u64, usize>,
     in_hand: Vec<Option<InHand>>,
     free: Vec<usize>,
@@ -126,8 +131,8 @@
             nodes: Indices::default(),
             node_ids: Vec::new(),
             tags: HashMap::new(),
-            volumes: Indices::default(),
-            keys: Keys::default(),
+            volumes: Recent::new(VOLUMES),
+            keys: Recent::new(KEYS),
             by_id: HashMap::new(),
             in_hand: Vec::new(),
             free: Vec::new(),
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -5,7 +5,7 @@
 use crate::config::Told;
 use crate::discovery::{Line, Listing, Watch};
 use crate::leaving::Leaving;
-use crate::nodes::{Pool, STALLS};
+use crate::nodes::{Numbers, Pool, STALLS};
 use crate::outcome::{outcome, Sign};
 use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
 use magpiewick_desk::{Part, Reason, World};
@@ -150,8 +150,7 @@
     pub commands: HashMap<u64, Open>,
     pub ids: HashMap<String, u64>,
     pub nodes: BTreeMap<u32, Node>,
-    node_numbers: HashMap<String, u32>,
-    next_node: u32,
+    numbers: Numbers,
     pub pool: Pool,
     pub timers: Timers<Timed>,
     /// Outcomes that are owed to the desk.
@@ -192,8 +191,7 @@
             commands: HashMap::new(),
             ids: HashMap::new(),
             nodes: BTreeMap::new(),
-            node_numbers: HashMap::new(),
-            next_node: 0,
+            numbers: Numbers::default(),
             timers: Timers::default(),
             owed: Vec::new(),
             wakes_at: 0.0,
@@ -522,16 +520,11 @@
     }
 
     fn line(&mut self, line: &Line) -> Option<(u32, Entry)> {
-        let known = self.node_numbers.get(&line.id).copied();
-        let number = match known {
+        let number = match self.numbers.known(&line.id) {
             Some(number) => number,
             // Whatever was never known cannot go.
             None if line.condition == Condition::Gone => return None,
-            None => {
-                self.next_node += 1;
-                self.node_numbers.insert(line.id.clone(), self.next_node);
-                self.next_node
-            }
+            None => self.numbers.of(self.now, &line.id),
         };
         let zone = self.door.zones.iter().position(|z| *z == line.zone).unwrap_or(self.door.zones.len());
         let started = line.started.map(|at| at as f64 - self.epoch);
@@ -555,7 +548,7 @@
         self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
         self.take_back(number);
         if let Some(node) = self.nodes.remove(&number) {
-            self.node_numbers.remove(&node.id);
+            self.numbers.forget(self.now, &node.id);
         }
     }
 
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -4,7 +4,7 @@
 //! taken or retired; all others are the loop's.
 
 use magpiewick::Ms;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// A connection is retired when it has rested for this part of the time after which its node closes it: a
 /// process that stood still meanwhile would else write into one that is about to end.
@@ -81,11 +81,63 @@
     }
 }
 
+/// A number is given out again when its node has been gone for so long: longer than any hand-off there is out, and
+/// than it takes until the module, which forgets a node with the next news of the list, has forgotten it.
+const FORGOTTEN: Ms = 60_000.0;
+
+/// Numbers of nodes by their ids. Guards against a list that names new nodes day after day: all that is kept by
+/// number stays as large as the fleet. A number that comes back is a node that was never met.
+#[derive(Default)]
+pub struct Numbers {
+    by_id: HashMap<String, u32>,
+    gone: VecDeque<(Ms, u32)>,
+    next: u32,
+}
+
+impl Numbers {
+    pub fn known(&self, id: &str) -> Option<u32> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn of(&mut self, now: Ms, id: &str) -> u32 {
+        if let Some(number) = self.known(id) {
+            return number;
+        }
+        let free = self.gone.pop_front_if(|g| now - g.0 >= FORGOTTEN).map(|g| g.1);
+        let number = free.unwrap_or_else(|| {
+            self.next += 1;
+            self.next
+        });
+        self.by_id.insert(id.to_string(), number);
+        number
+    }
+
+    pub fn forget(&mut self, now: Ms, id: &str) {
+        self.gone.extend(self.by_id.remove(id).map(|number| (now, number)));
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
     use quickcheck::quickcheck;
 
+    #[test]
+    fn numbers_of_a_fleet_that_is_always_new_stay_few() {
+        let mut numbers = Numbers::default();
+        let mut highest = 0;
+        for second in 0..10_000 {
+            let now = f64::from(second) * 1000.0;
+            let number = numbers.of(now, &format!("s-{second}"));
+            assert_eq!(numbers.known(&format!("s-{second}")), Some(number));
+            highest = highest.max(number);
+            if second >= 10 {
+                numbers.forget(now, &format!("s-{}", second - 10));
+            }
+        }
+        assert!((70..=72).contains(&highest), "{highest}");
+    }
+
     quickcheck! {
         /// A plain model: one list of what rests, in the order in which it came.
         fn a_pool_is_a_list_of_what_rests(steps: Vec<(u8, u8)>) -> bool {
