Let clients that asked once and stay give way within their third of the descriptors

Lines at fault: Floor::accept made room only at 60% of the descriptors, silent crowds included. Change: beyond 0.7 of a third of the descriptors the longest rested of those that have asked ends with each newcomer.

Test seen to fail before (60 of 60 connections stood).

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -264,6 +264,23 @@
     assert_eq!(silent.len(), 400);
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_leave_room_for_the_next() {
+    let rig = Rig::with(1, 128);
+    let mut stayed: Vec<Client> = (0..60)
+        .map(|i| {
+            let (mut client, id) = (rig.client(), format!("r{i}"));
+            served(client.asks(&command(&id, "read", 0, 900)), &id);
+            client
+        })
+        .collect();
+    // A third of the descriptors is what clients open to ask on.
+    let soon = Some(Duration::from_millis(1));
+    stayed.iter_mut().for_each(|client| client.stream.set_read_timeout(soon).unwrap());
+    let open = stayed.into_iter().filter_map(|mut client| client.rests().then_some(())).count();
+    assert!((20..40).contains(&open), "{open} rest");
+}
+
 #[test]
 fn a_request_that_came_early_waits_for_the_one_before_it() {
     let rig = Rig::new(1);
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -421,6 +421,12 @@
         self.hears()
     }
 
+    /// Whether the connection stands, with nothing to read, within the time that its reads are given.
+    pub fn rests(&mut self) -> bool {
+        let mut byte = [0];
+        self.stream.peek(&mut byte).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Whether the connection ends without another byte.
     pub fn ends(&mut self) -> bool {
         let mut byte = [0];
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -23,6 +23,10 @@
 const OWN_SOCKETS: usize = 20;
 /// The part of the others that may be clients': those that are in earnest hold a third of all at most.
 const CLIENTS_PART: f64 = 0.6;
+/// The part of all descriptors up to which clients open connections to ask on, and the part of that which those may
+/// hold that have asked: clients that ask once and stay would else leave no room for the next.
+const ASKING_PART: f64 = 1.0 / 3.0;
+const ASKED_PART: f64 = 0.7;
 /// A connection to a node that does not stand by then has not come up, where the settings do not say.
 const DIAL: Ms = 1000.0;
 
@@ -163,6 +167,7 @@
     pub leaving: Leaving,
     pub counts: Counts,
     pub most_clients: usize,
+    most_asked: usize,
     most_links: usize,
     pub clients: usize,
     links: usize,
@@ -202,6 +207,7 @@
             leaving,
             counts: Counts::default(),
             most_clients,
+            most_asked: (sockets as f64 * ASKING_PART * ASKED_PART) as usize,
             most_links: shared - most_clients,
             clients: 0,
             links: 0,
@@ -242,9 +248,13 @@
     }
 
     pub fn accept(&mut self, stream: std::net::TcpStream) {
-        if self.clients >= self.most_clients && !self.make_room() {
+        if self.clients >= self.most_clients && !self.make_room(|_| true) {
             return;
         }
+        let asked = |s: &Standing| s.asked > 0;
+        if self.standing().filter(asked).count() > self.most_asked {
+            self.make_room(asked);
+        }
         let (now, serial) = (self.now, self.next_serial());
         let entered = self.enter(|poll, key| {
             let stream = Stream::accepted(poll, stream, key)?;
@@ -277,13 +287,16 @@
         self.timers.set(at, timed);
     }
 
-    /// Ends the client's connection that gives way first; false where none may.
-    pub fn make_room(&mut self) -> bool {
-        let standing = self.peers.iter().filter_map(|(key, peer)| match peer {
+    fn standing(&self) -> impl Iterator<Item = Standing> + '_ {
+        self.peers.iter().filter_map(|(key, peer)| match peer {
             Peer::Client(c) => Some(Standing { key, busy: c.busy(), asked: c.asked, since: c.since }),
             _ => None,
-        });
-        let Some(key) = clients::gives_way(self.now, standing) else { return false };
+        })
+    }
+
+    /// Ends the client's connection that gives way first of some; false where none may.
+    pub fn make_room(&mut self, of: impl Fn(&Standing) -> bool) -> bool {
+        let Some(key) = clients::gives_way(self.now, self.standing().filter(of)) else { return false };
         self.counts.evicted += 1;
         self.drop_client(key);
         true
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -198,7 +198,7 @@
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => {
                     // No descriptor is left, or the newcomer has gone: without a rest the loop would spin.
-                    self.floor.make_room();
+                    self.floor.make_room(|_| true);
                     self.accepts_from = self.floor.now + ACCEPT_REST;
                     _ = listener.watch(false, false);
                     return;
