Let a client that does not read its answer lose its place

Need: a connection with an answer half written never gave way, so a client that reads nothing held it, and up to 1 MiB, for ever. Test seen to fail before: 12 such clients were held after 6 s.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -264,6 +264,25 @@
     assert_eq!(silent.len(), 400);
 }
 
+#[test]
+fn a_client_that_does_not_read_its_answer_loses_its_place() {
+    let rig = Rig::new(1);
+    rig.nodes[0].always(Does::Fills(1_000_000));
+    let before = rig.descriptors();
+    let mut all: Vec<Client> = (0..12).map(|_| rig.client()).collect();
+    for (i, client) in all.iter_mut().enumerate() {
+        // Several answers each: the kernel's own buffers hold some of them.
+        (0..8).for_each(|j| client.sends(&command(&format!("c{i}-{j}"), "read", 0, 3000)));
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(rig.descriptors() >= before + 12);
+    std::thread::sleep(Duration::from_millis(5500));
+    // The node's own connections may rest.
+    assert!(rig.descriptors() < before + 12, "{} descriptors", rig.descriptors());
+    let mut reads = rig.client();
+    assert_eq!(reads.asks(&command("reads", "read", 0, 3000)).unwrap().body.len(), 1_000_000);
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_leave_room_for_the_next() {
     let rig = Rig::with(1, 128);
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -67,6 +67,8 @@
     Resets,
     /// Nothing, and keeps the connection.
     Nothing,
+    /// Serves so many bytes.
+    Fills(usize),
     /// Serves after a while.
     Waits(Duration),
 }
@@ -134,6 +136,11 @@
                     return None;
                 }
                 Does::Nothing => {}
+                Does::Fills(length) => {
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    stream.write_all(head.as_bytes()).ok()?;
+                    stream.write_all(&vec![b'x'; length]).ok()?;
+                }
                 Does::Waits(time) => {
                     std::thread::sleep(time);
                     stream.write_all(&filled(SERVED)).ok()?;
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -58,6 +58,8 @@
     pub open: Option<u64>,
     /// Nothing more is read as requests: what is written goes out, then it ends.
     pub closing: bool,
+    /// What had been written when a timer last looked at an answer on its way.
+    pub written: u64,
     /// Bytes that came after that and were thrown away.
     pub thrown: usize,
     /// The client asked for the end after the open command's answer.
@@ -269,6 +271,7 @@
                 timed: true,
                 open: None,
                 closing: false,
+                written: 0,
                 thrown: 0,
                 last: false,
             }))
@@ -279,12 +282,12 @@
         }
     }
 
-    /// A request has begun to come: it must come whole in time.
-    pub fn client_waits(&mut self, key: usize) {
+    /// A request has begun to come, or an answer to go: it must go on in time.
+    pub fn client_waits(&mut self, key: usize, since: Ms) {
         let Some(client) = self.client(key).filter(|c| !c.timed) else { return };
         client.timed = true;
-        let (at, timed) = (client.began + clients::PATIENCE, Timed::Client(key, client.serial));
-        self.timers.set(at, timed);
+        let timed = Timed::Client(key, client.serial);
+        self.timers.set(since + clients::PATIENCE, timed);
     }
 
     fn standing(&self) -> impl Iterator<Item = Standing> + '_ {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -255,13 +255,18 @@
         let Some(client) = self.floor.client(key).filter(|c| c.serial == serial) else { return };
         client.timed = false;
         let ends = client.began + clients::PATIENCE;
-        if client.closing {
+        let written = client.stream.written_in_all();
+        if client.stream.pending() > 0 && written > client.written {
+            client.written = written;
+            self.floor.client_waits(key, now);
+        } else if client.closing || client.stream.pending() > 0 {
+            // A client that does not read its answer would keep it, and its place, for ever.
             self.floor.drop_client(key);
-        } else if client.busy() {
+        } else if client.open.is_some() {
             // It is owed something and is not looked at until that is done.
         } else if !client.stream.input().is_empty() && now < ends - 1.0 {
-            client.timed = true;
-            self.floor.timers.set(ends, Timed::Client(key, serial));
+            let began = client.began;
+            self.floor.client_waits(key, began);
         } else if !client.stream.input().is_empty() {
             self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
         } else if client.asked == 0 {
@@ -309,7 +314,10 @@
         if client.stream.flush().is_err() {
             return self.client_gone(key);
         }
-        if client.closing && client.open.is_none() && client.stream.pending() == 0 {
+        if client.stream.pending() > 0 {
+            return self.floor.client_waits(key, now);
+        }
+        if client.closing && client.open.is_none() {
             // What it still sends is read for a while and thrown away: an end with bytes unread would take the
             // answer away from a client that has not read it yet.
             client.stream.end_writing();
@@ -363,7 +371,8 @@
             Ok(None) => {
                 client.heads = heads;
                 client.stream.give_back(input, 0);
-                return self.floor.client_waits(key);
+                let began = client.began;
+                return self.floor.client_waits(key, began);
             }
             Err(bad) => return self.floor.refuse(key, bad.into(), true),
         };
@@ -375,7 +384,8 @@
         if input.len() < whole {
             // The head is found again when the body is there; it is short.
             client.stream.give_back(input, 0);
-            return self.floor.client_waits(key);
+            let began = client.began;
+            return self.floor.client_waits(key, began);
         }
         client.heads = http1::Heads::default();
         let came = client.came;
