--- a/crates/desk/tests/answers.rs
+++ b/crates/desk/tests/answers.rs
@@ -164,3 +164,38 @@
         }
     }
 }
+
+/// Kilobytes that this process holds in memory.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+#[test]
+fn what_is_kept_does_not_grow_with_ids_that_are_always_new() {
+    let (mut desk, mut world) = (Desk::new(start(), 0.0), Count::default());
+    let entry = magpiewick::Entry::default();
+    desk.listed(0.0, News::Whole, &[(1, entry)]);
+    let mut serve = |ids: std::ops::Range<u64>| {
+        for id in ids {
+            let now = id as f64 * 10.0;
+            let (time_limit, units) = (400.0, 1.0);
+            let (band, plan, volume, key, shard) = ((id % 2) as usize, 0, 0, None, Some(0));
+            let (hosts, counts, with) = (1.0, 1.0, None);
+            let command = Command { band, plan, volume, key, units, shard, hosts, time_limit, counts, with };
+            desk.take(now, Taken { id, key: id, volume: id, command }, &mut world);
+            desk.run(now, &mut world);
+            while !world.out.is_empty() {
+                outcome(&mut desk, &mut world, now, 0, Outcome::Settled);
+            }
+            world.ended.clear();
+        }
+        assert_eq!((desk.in_hand(), &world.wrong), (0, &None));
+        resident()
+    };
+    // Until all that is bounded has reached its bound.
+    let before = serve(1..250_000);
+    let grown = serve(250_000..500_000).saturating_sub(before);
+    assert!(grown < 4096, "{grown} kB more after as many commands again");
+}
