Clear up the platform's door: one reader of answers, bounds beside their decider

Links to nodes and calls to discovery read their answers by two copies of one sequence; next_answer serves both. The parts of the descriptors stood as tuned values in the loop's floor; they stand in clients::Room, beside the decider. Smaller: a look-up of a field copied its name each time, Floor::answer matched twice, Indices was generic over one type, three things were public or named twice for nothing.

Behaviour as it was, no test changed.

--- a/crates/desk/src/indices.rs
+++ b/crates/desk/src/indices.rs
@@ -1,19 +1,13 @@
 //! Small indices for the ids of a wire. They are only looked up, never walked in hash order.
 
 use std::collections::HashMap;
-use std::hash::Hash;
 
 /// Ids in the order in which they were first met.
-pub struct Indices<K>(HashMap<K, usize>);
+#[derive(Default)]
+pub struct Indices(HashMap<u32, usize>);
 
-impl<K> Default for Indices<K> {
-    fn default() -> Indices<K> {
-        Indices(HashMap::new())
-    }
-}
-
-impl<K: Eq + Hash> Indices<K> {
-    pub fn of(&mut self, id: K) -> usize {
+impl Indices {
+    pub fn of(&mut self, id: u32) -> usize {
         let next = self.0.len();
         *self.0.entry(id).or_insert(next)
     }
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -111,7 +111,7 @@
 
 pub struct Desk {
     brain: Brain,
-    nodes: Indices<u32>,
+    nodes: Indices,
     node_ids: Vec<u32>,
     /// By tag: the node, or none where several have it.
     tags: HashMap<u16, Option<usize>>,
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -57,9 +57,8 @@
         Fields(headers.iter().map(|h| (h.name, h.value)).collect())
     }
 
-    pub fn all(&self, name: &str) -> impl Iterator<Item = &'a [u8]> + '_ {
-        let name = name.to_string();
-        self.0.iter().filter(move |f| f.0.eq_ignore_ascii_case(&name)).map(|f| f.1)
+    pub fn all<'b>(&'b self, name: &'b str) -> impl Iterator<Item = &'a [u8]> + 'b {
+        self.0.iter().filter(move |f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1)
     }
 
     /// A field that may stand once; an error where it stands twice.
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -10,6 +10,31 @@
 /// How much of it: reading 60 MB that nobody wants would cost the processor that commands need.
 pub const THROWN: usize = 256 << 10;
 
+/// The part of the descriptors that are not the host's own which may be clients': those that are in earnest hold a
+/// third of all at most.
+const CLIENTS_PART: f64 = 0.6;
+/// The part of all descriptors up to which clients open connections to ask on, and the part of that which those may
+/// hold that have asked: clients that ask once and stay would else leave no room for the next.
+const ASKING_PART: f64 = 1.0 / 3.0;
+const ASKED_PART: f64 = 0.7;
+
+/// How many connections there may be: of clients, of those of them that have asked, and to nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    pub clients: usize,
+    pub asked: usize,
+    pub links: usize,
+}
+
+impl Room {
+    /// `shared`: those of all descriptors that are for clients and nodes.
+    pub fn new(sockets: usize, shared: usize) -> Room {
+        let clients = (shared as f64 * CLIENTS_PART) as usize;
+        let asked = (sockets as f64 * ASKING_PART * ASKED_PART) as usize;
+        Room { clients, asked, links: shared - clients }
+    }
+}
+
 /// What is known of a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Standing {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 
 /// The variable that names the file.
-pub const VARIABLE: &str = "PROXY_CONFIG";
+const VARIABLE: &str = "PROXY_CONFIG";
 /// Far more than any list and settings take; a file that is longer is not ours.
 const MOST_FILE: u64 = 8 << 20;
 /// Fewer descriptors leave no room for clients, nodes and the list together.
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -1,7 +1,7 @@
 //! What the desk's wishes come to on sockets: connections to clients, nodes and discovery, and the commands that
 //! travel between them. Every decision on a command is the desk's.
 
-use crate::clients::{self, Standing};
+use crate::clients::{self, Room, Standing};
 use crate::config::Told;
 use crate::discovery::{Line, Listing, Watch};
 use crate::leaving::Leaving;
@@ -21,12 +21,6 @@
 /// Descriptors that are not for clients nor nodes: the standard ones, the poller's, signals, listener, discovery,
 /// a file that is read anew.
 const OWN_SOCKETS: usize = 20;
-/// The part of the others that may be clients': those that are in earnest hold a third of all at most.
-const CLIENTS_PART: f64 = 0.6;
-/// The part of all descriptors up to which clients open connections to ask on, and the part of that which those may
-/// hold that have asked: clients that ask once and stay would else leave no room for the next.
-const ASKING_PART: f64 = 1.0 / 3.0;
-const ASKED_PART: f64 = 0.7;
 /// A connection to a node that does not stand by then has not come up, where the settings do not say.
 const DIAL: Ms = 1000.0;
 
@@ -58,10 +52,10 @@
     pub open: Option<u64>,
     /// Nothing more is read as requests: what is written goes out, then it ends.
     pub closing: bool,
-    /// What had been written when a timer last looked at an answer on its way.
-    pub written: u64,
     /// Bytes that came after that and were thrown away.
     pub thrown: usize,
+    /// What had been written when a timer last looked at an answer on its way.
+    pub written: u64,
     /// The client asked for the end after the open command's answer.
     pub last: bool,
 }
@@ -85,9 +79,9 @@
 
 pub struct Link {
     pub stream: Stream,
+    pub answers: Answers,
     pub node: u32,
     pub serial: u64,
-    pub answers: Answers,
     /// When the last bytes came of an answer that is not whole.
     pub begun: Option<Ms>,
     pub stage: Stage,
@@ -105,6 +99,27 @@
     pub answers: Answers,
 }
 
+/// What came on a connection that the host asks on: an answer if it is whole, and whether the connection is of no
+/// more use behind it. Bytes that are no answer and an end before it is whole come as what they are to a hand-off.
+pub fn next_answer(
+    stream: &mut Stream,
+    answers: &mut Answers,
+) -> Result<Option<(http1::Answer, bool)>, Sign> {
+    let ended = stream.fill().is_err();
+    let input = stream.take_input();
+    let (used, answer) = answers.read(&input).map_err(|_| Sign::Spoilt)?;
+    let behind = used < input.len();
+    stream.give_back(input, used);
+    match answer {
+        Some(answer) => {
+            let last = behind || ended || answer.close;
+            Ok(Some((answer, last)))
+        }
+        None if ended => Err(Sign::Broke),
+        None => Ok(None),
+    }
+}
+
 pub enum Peer {
     Client(Client),
     Link(Link),
@@ -168,9 +183,7 @@
     pub wants_list: bool,
     pub leaving: Leaving,
     pub counts: Counts,
-    pub most_clients: usize,
-    most_asked: usize,
-    most_links: usize,
+    room: Room,
     pub clients: usize,
     links: usize,
     serial: u64,
@@ -185,8 +198,6 @@
         let (door, sockets, discovery) = (told.door.clone(), told.sockets, told.discovery);
         let longest = told.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
         let leaving = Leaving::new(longest);
-        let shared = sockets - OWN_SOCKETS;
-        let most_clients = (shared as f64 * CLIENTS_PART) as usize;
         Floor {
             poll,
             clock,
@@ -208,9 +219,7 @@
             wants_list: false,
             leaving,
             counts: Counts::default(),
-            most_clients,
-            most_asked: (sockets as f64 * ASKING_PART * ASKED_PART) as usize,
-            most_links: shared - most_clients,
+            room: Room::new(sockets, sockets - OWN_SOCKETS),
             clients: 0,
             links: 0,
             serial: 0,
@@ -219,7 +228,7 @@
         }
     }
 
-    pub fn next_serial(&mut self) -> u64 {
+    fn next_serial(&mut self) -> u64 {
         self.serial += 1;
         self.serial
     }
@@ -250,11 +259,11 @@
     }
 
     pub fn accept(&mut self, stream: std::net::TcpStream) {
-        if self.clients >= self.most_clients && !self.make_room(|_| true) {
+        if self.clients >= self.room.clients && !self.make_room(|_| true) {
             return;
         }
         let asked = |s: &Standing| s.asked > 0;
-        if self.standing().filter(asked).count() > self.most_asked {
+        if self.standing().filter(asked).count() > self.room.asked {
             self.make_room(asked);
         }
         let (now, serial) = (self.now, self.next_serial());
@@ -307,10 +316,7 @@
 
     /// Ends a client's connection; the command that was open on it.
     pub fn drop_client(&mut self, key: usize) -> Option<u64> {
-        match self.peers.get(key) {
-            Some(Peer::Client(_)) => {}
-            _ => return None,
-        }
+        self.client(key)?;
         self.clients -= 1;
         let Peer::Client(client) = self.peers.remove(key) else { return None };
         client.open
@@ -417,7 +423,7 @@
     }
 
     fn dial(&mut self, node: u32, address: SocketAddr) -> Option<usize> {
-        if self.links >= self.most_links {
+        if self.links >= self.room.links {
             let key = self.pool.gives_way()?;
             self.drop_link(key);
         }
@@ -469,24 +475,16 @@
     pub fn read_link(&mut self, key: usize) {
         let now = self.now;
         let Some(link) = self.link(key) else { return };
-        let end = link.stream.fill();
         let Stage::Out { command, written, .. } = link.stage else {
             // Nothing was asked: whatever comes, the connection is of no more use.
             self.drop_link(key);
             return;
         };
-        let input = link.stream.take_input();
-        let read = link.answers.read(&input);
-        let (used, answer) = match read {
-            Ok(read) => read,
-            Err(_) => return self.end_link(key, Sign::Spoilt),
+        let next = match next_answer(&mut link.stream, &mut link.answers) {
+            Ok(next) => next,
+            Err(sign) => return self.end_link(key, sign),
         };
-        let behind = used < input.len();
-        link.stream.give_back(input, used);
-        let Some(answer) = answer else {
-            if end.is_err() {
-                return self.end_link(key, Sign::Broke);
-            }
+        let Some((answer, last)) = next else {
             let (first, serial) = (link.begun.replace(now).is_none(), link.serial);
             if first {
                 self.timers.set(now + STALLS, Timed::Answer(key, serial));
@@ -496,7 +494,7 @@
         link.begun = None;
         let whole = link.written();
         let node = link.node;
-        if behind || end.is_err() || answer.close || !whole {
+        if last || !whole {
             self.drop_link(key);
         } else {
             link.stage = Stage::Rests;
@@ -536,11 +534,10 @@
     }
 
     fn line(&mut self, line: &Line) -> Option<(u32, Entry)> {
-        let number = match self.numbers.known(&line.id) {
-            Some(number) => number,
+        let number = match line.condition {
             // Whatever was never known cannot go.
-            None if line.condition == Condition::Gone => return None,
-            None => self.numbers.of(self.now, &line.id),
+            Condition::Gone => self.numbers.known(&line.id)?,
+            _ => self.numbers.of(self.now, &line.id),
         };
         let zone = self.door.zones.iter().position(|z| *z == line.zone).unwrap_or(self.door.zones.len());
         let started = line.started.map(|at| at as f64 - self.epoch);
@@ -604,14 +601,11 @@
         self.release(command);
         let Some(key) = client else { return };
         let word = reason.word();
-        let (status, back) = match ending {
-            Ending::Bounced { back } => (503, back),
-            Ending::Scrapped => (502, 0.0),
+        let (status, back, count) = match ending {
+            Ending::Bounced { back } => (503, back, &mut self.counts.bounced),
+            Ending::Scrapped => (502, 0.0, &mut self.counts.scrapped),
         };
-        match ending {
-            Ending::Bounced { .. } => self.counts.bounced += 1,
-            Ending::Scrapped => self.counts.scrapped += 1,
-        }
+        *count += 1;
         let back = format!("{:.3}", back / 1000.0);
         let fields: &[(&str, &[u8])] = match back.as_str() {
             "0.000" => &[],
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,8 +11,6 @@
 mod nodes;
 mod outcome;
 
-pub use config::VARIABLE;
-
 use config::Told;
 use floor::{Call, Floor, Open, Peer, Timed, FIRST_KEY};
 use magpiewick::{Ms, News};
@@ -394,9 +392,8 @@
             let why = "the length is not that of the body";
             return self.floor.refuse(key, Refused { status: 400, why }, true);
         }
-        match self.taken(key, &request, &input[head..whole], now - came, ready) {
-            Ok(()) => {}
-            Err(refused) => self.floor.refuse(key, refused, false),
+        if let Err(refused) = self.taken(key, &request, &input[head..whole], now - came, ready) {
+            self.floor.refuse(key, refused, false);
         }
         if let Some(client) = self.floor.client(key) {
             client.stream.give_back(input, whole);
@@ -507,19 +504,11 @@
 
     fn read_call(&mut self, key: usize) {
         let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
-        let end = call.stream.fill();
-        let input = call.stream.take_input();
-        let (used, answer) = match call.answers.read(&input) {
-            Ok((used, answer)) => (used, answer),
-            Err(_) => return self.call_failed("the answer is spoilt"),
-        };
-        let behind = used < input.len();
-        call.stream.give_back(input, used);
-        let Some(answer) = answer else {
-            if end.is_err() {
-                self.call_failed("the connection ended");
-            }
-            return;
+        let (answer, last) = match floor::next_answer(&mut call.stream, &mut call.answers) {
+            Ok(Some(next)) => next,
+            Ok(None) => return,
+            Err(Sign::Spoilt) => return self.call_failed("the answer is spoilt"),
+            Err(_) => return self.call_failed("the connection ended"),
         };
         if !self.floor.watch.is_out() || answer.status != 200 {
             return self.call_failed("an answer that is none");
@@ -531,7 +520,7 @@
         let Some(news) = self.floor.watch.answered(&listing) else {
             return self.call_failed("changes to a list that is not known");
         };
-        if behind || end.is_err() || answer.close {
+        if last {
             self.end_call();
         }
         self.floor.counts.lists += 1;
