Bound what waits in memory, name settings that wait, bear running out of descriptors

Seen, by new tests on the code as it was, each of which failed: a client that sent 60 requests for answers of 1 MB and read none had the host hold 62 MB (Platform::requests took the next request while the answer before it was still going out); 16 answers of 1 MB that come slowly took 21 MB under a limit of 16 MB (limits.memory_mb was not read); with all descriptors in the hands of silent clients each newcomer waited 50 ms and a connection to a node that could not be opened was told to the module as the node's refusal (Platform::accept, Floor::dial); a node listed as started in an hour stayed cold for that hour (Floor::line).

Changed: the next request waits until the answer before it is gone; a decider (memory.rs, with its plain model) ends the largest hand-offs, then the largest answers on their way, while more than half of the memory's limit waits; a newcomer or a node's connection takes the place of a client that waits for nothing; a start in the future counts as now, once. A new file's other differences are named in the log as waiting for a restart, at most twelve. A body that comes in pieces no longer has its head read with each piece.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,10 +3,11 @@
 
 mod rig;
 
-use rig::{command, instance, made_for, Client, Discovery, Does, Mood, Rig, FAILED, FULL, SERVED};
+use rig::{command, instance, made_for, Client, Discovery, Does, Limits, Mood, Rig, FAILED, FULL, SERVED};
+use serde_json::json;
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 fn served(message: Option<rig::Message>, id: &str) {
     let message = message.unwrap_or_else(|| panic!("{id} has no answer"));
@@ -254,7 +255,7 @@
 
 #[test]
 fn silent_clients_give_way_and_descriptors_stay_within_their_bound() {
-    let rig = Rig::with(1, 128);
+    let rig = Rig::with(1, Limits { sockets: 128, ..Limits::default() });
     let silent: Vec<TcpStream> = (0..400).map_while(|_| TcpStream::connect(rig.host).ok()).collect();
     for i in 0..20 {
         let id = format!("r{i}");
@@ -279,9 +280,65 @@
     assert_eq!(reads.asks(&command("reads", "read", 0, 3000)).unwrap().body.len(), 1_000_000);
 }
 
+#[test]
+fn a_client_that_asks_on_and_on_without_reading_holds_one_answer() {
+    let rig = Rig::new(1);
+    rig.nodes[0].always(Does::Fills(1_000_000));
+    let before = rig.most_memory();
+    let mut client = Client::that_takes(16 << 10, rig.host);
+    let all: Vec<u8> = (0..60).flat_map(|i| command(&format!("c{i}"), "read", 0, 3000)).collect();
+    client.sends(&all);
+    rig.comes_to("its place is free", |rig| rig.clients() == 0);
+    // One answer as it came, as its body, and as it goes on, each in a buffer that doubled as it grew.
+    assert!(rig.most_memory() < before + 8_000, "{} KB of {before} at first", rig.most_memory());
+}
+
+#[test]
+fn answers_that_are_long_in_coming_stay_within_the_memory_together() {
+    let rig = Rig::with(4, Limits { memory_mb: 16, ..Limits::default() });
+    rig.nodes.iter().for_each(|node| node.always(Does::Dribbles(1_000_000)));
+    let mut all: Vec<Client> = (0..32)
+        .map(|i| {
+            let mut client = rig.client();
+            client.sends(&command(&format!("c{i}"), "read", i % 4, 1500));
+            client
+        })
+        .collect();
+    for client in &mut all {
+        assert!(matches!(client.hears().unwrap().status(), 502 | 503));
+    }
+    assert!(rig.most_memory() < 16 << 10, "{} KB", rig.most_memory());
+}
+
+#[test]
+fn descriptors_that_run_out_neither_stop_the_host_nor_make_it_spin() {
+    let rig = Rig::with(1, Limits { given: 40, ..Limits::default() });
+    let silent: Vec<TcpStream> = (0..100).map_while(|_| TcpStream::connect(rig.host).ok()).collect();
+    let mut all: Vec<Client> = (0..12).map(|_| rig.client()).collect();
+    let asked = (0..).zip(&mut all);
+    asked.for_each(|(i, client)| client.sends(&command(&format!("r{i}"), "read", 0, 900)));
+    (0..).zip(&mut all).for_each(|(i, client)| served(client.hears(), &format!("r{i}")));
+    assert_eq!(silent.len(), 100);
+    // All places are taken by those that are owed something.
+    rig.nodes[0].always(Does::Nothing);
+    let mut busy: Vec<Client> = (0..60).map(|_| rig.client()).collect();
+    let asked = (0..).zip(&mut busy);
+    asked.for_each(|(i, client)| client.sends(&command(&format!("b{i}"), "read", 0, 1500)));
+    std::thread::sleep(Duration::from_millis(200));
+    let before = rig.ticks().unwrap();
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(rig.ticks().unwrap() - before < 20, "it spins");
+    rig.nodes[0].always(Does::Writes(SERVED));
+    // A node that was silent is tried again bit by bit.
+    let until = Instant::now() + rig::SOON;
+    while rig.client().asks(&command("last", "read", 0, 900)).is_none_or(|a| a.status() != 200) {
+        assert!(Instant::now() < until, "it serves nobody any more");
+    }
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_leave_room_for_the_next() {
-    let rig = Rig::with(1, 128);
+    let rig = Rig::with(1, Limits { sockets: 128, ..Limits::default() });
     let mut stayed: Vec<Client> = (0..60)
         .map(|i| {
             let (mut client, id) = (rig.client(), format!("r{i}"));
@@ -321,6 +378,26 @@
     assert_eq!((rig.nodes[0].count(), rig.nodes[1].count()), (1, 10));
 }
 
+#[test]
+fn a_node_said_to_start_in_an_hour_is_cold_no_longer_than_one_that_starts_now() {
+    let rig = Rig::new(1);
+    let mut late = instance("s-late", rig.addresses[0], 0, "SERVING");
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
+    late["startedAtMs"] = json!(unix + 3_600_000);
+    rig.discovery.tells(vec![late.clone()]);
+    // The rules' time for a cold node and for its rise are over; a list that says the same again changes nothing.
+    std::thread::sleep(Duration::from_millis(2000));
+    rig.discovery.tells(vec![late]);
+    std::thread::sleep(Duration::from_millis(1300));
+    let mut all: Vec<Client> = (0..40).map(|_| rig.client()).collect();
+    for (i, client) in all.iter_mut().enumerate() {
+        client.sends(&command(&format!("c{i}"), "read", 0, 900));
+    }
+    for (i, client) in all.iter_mut().enumerate() {
+        served(client.hears(), &format!("c{i}"));
+    }
+}
+
 #[test]
 fn a_discovery_that_fails_is_asked_again_and_the_list_stays() {
     for mood in [Mood::Busy, Mood::Odd, Mood::Silent] {
@@ -420,14 +497,21 @@
         (
             Some(
                 r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"zz",
-                "limits":{"sockets":256},"settings":{}}"#,
+                "limits":{"sockets":256,"memory_mb":32},"settings":{}}"#,
             ),
             "seed",
         ),
         (
             Some(
                 r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
-                "limits":{"sockets":256},"settings":{}}"#,
+                "limits":{"sockets":256,"memory_mb":2},"settings":{}}"#,
+            ),
+            "memory_mb",
+        ),
+        (
+            Some(
+                r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
+                "limits":{"sockets":256,"memory_mb":32},"settings":{}}"#,
             ),
             "round_ns",
         ),
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -72,6 +72,8 @@
     Fills(usize),
     /// Serves after a while.
     Waits(Duration),
+    /// Writes all but the end of an answer of so many bytes, and then one byte now and then.
+    Dribbles(usize),
 }
 
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{body}";
@@ -142,6 +144,15 @@
                     stream.write_all(head.as_bytes()).ok()?;
                     stream.write_all(&vec![b'x'; length]).ok()?;
                 }
+                Does::Dribbles(length) => {
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    stream.write_all(head.as_bytes()).ok()?;
+                    stream.write_all(&vec![b'x'; length - 1000]).ok()?;
+                    for _ in 0..1000 {
+                        std::thread::sleep(Duration::from_millis(10));
+                        stream.write_all(b"x").ok()?;
+                    }
+                }
                 Does::Waits(time) => {
                     std::thread::sleep(time);
                     stream.write_all(&filled(SERVED)).ok()?;
@@ -253,6 +264,21 @@
         "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
 }
 
+/// The limits under which a host runs.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub sockets: usize,
+    pub memory_mb: usize,
+    /// The descriptors that the system gives it, whatever the file says.
+    pub given: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 512, memory_mb: 64, given: 1024 }
+    }
+}
+
 fn settings() -> Value {
     json!({
         "balancers": 1, "zones": ["a"], "registry_mode": "ask", "round_ns": 2_000_000,
@@ -291,10 +317,10 @@
 impl Rig {
     /// A host that is ready, with a node for each shard.
     pub fn new(nodes: usize) -> Rig {
-        Rig::with(nodes, 512)
+        Rig::with(nodes, Limits::default())
     }
 
-    pub fn with(nodes: usize, sockets: usize) -> Rig {
+    pub fn with(nodes: usize, limits: Limits) -> Rig {
         let (mut stand_ins, mut addresses, mut instances) = (Vec::new(), Vec::new(), Vec::new());
         for shard in 0..nodes {
             let (node, (listener, address)) = (Arc::new(Node::default()), listen());
@@ -309,13 +335,13 @@
         let host = listen().1;
         let config = json!({
             "name": "n0", "listen": host.to_string(), "discovery": discovery_at.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
             "known": {"generation": 0, "reset": true, "instances": []}, "settings": settings(),
         });
         let number = RIGS.fetch_add(1, Ordering::SeqCst);
         let file = std::env::temp_dir().join(format!("magpiewick-{}-{number}.json", std::process::id()));
         std::fs::write(&file, config.to_string()).unwrap();
-        let child = program(&file);
+        let child = program(&file, limits.given);
         let (nodes, child) = (stand_ins, child);
         let rig = Rig { nodes, addresses, discovery, discovery_at, host, config, file, child };
         rig.is_ready();
@@ -384,6 +410,13 @@
         }
     }
 
+    /// The most memory that the host ever took, in kilobytes.
+    pub fn most_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Hundredths of a second of processor time that the host took; none where it has ended.
     pub fn ticks(&self) -> Option<u64> {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
@@ -416,9 +449,14 @@
     }
 }
 
-fn program(file: &std::path::Path) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_magpiewick"));
-    command.arg("platform").env("PROXY_CONFIG", file).stderr(Stdio::null()).stdout(Stdio::null());
+fn program(file: &std::path::Path, descriptors: usize) -> Child {
+    let mut command = Command::new("/bin/sh");
+    let script = format!("ulimit -n {descriptors}; exec \"$0\" platform");
+    command
+        .args(["-c", &script, env!("CARGO_BIN_EXE_magpiewick")])
+        .env("PROXY_CONFIG", file)
+        .stderr(Stdio::null())
+        .stdout(Stdio::null());
     command.spawn().unwrap()
 }
 
--- a/crates/http1/src/answer.rs
+++ b/crates/http1/src/answer.rs
@@ -59,6 +59,14 @@
 }
 
 impl Answers {
+    /// The memory that an answer takes that is not whole yet.
+    pub fn held(&self) -> usize {
+        match &self.stage {
+            Stage::Chunks(answer) | Stage::Trailer(answer, _) => answer.body.capacity(),
+            Stage::Head | Stage::Length(..) => 0,
+        }
+    }
+
     /// Uses what it can of the input: how many bytes, and an answer where one is whole.
     pub fn read(&mut self, input: &[u8]) -> Result<(usize, Option<Answer>), Spoilt> {
         let mut used = 0;
--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -126,6 +126,11 @@
         self.input.clear();
     }
 
+    /// The memory that both buffers take.
+    pub fn held(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
     /// Gives the room of both buffers back; for a stream that rests, of which there may be many.
     pub fn rest(&mut self) {
         if self.input.is_empty() && self.output.is_empty() {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -5,6 +5,7 @@
 use magpiewick_facts::{Door, Facts};
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -12,6 +13,10 @@
 const VARIABLE: &str = "PROXY_CONFIG";
 /// Far more than any list and settings take; a file that is longer is not ours.
 const MOST_FILE: u64 = 8 << 20;
+/// Less memory than the program itself needs.
+const LEAST_MEMORY_MB: f64 = 8.0;
+/// How many settings are named that differ: a log is no place for whole files.
+const MOST_NAMED: usize = 12;
 /// Fewer descriptors leave no room for clients, nodes and the list together.
 const LEAST_SOCKETS: usize = 64;
 
@@ -30,6 +35,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 /// What a host is told, checked.
@@ -39,6 +45,9 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub sockets: usize,
+    pub memory_mb: f64,
+    /// What of the file only a start takes in: all but the address of discovery and what each start has anew.
+    pub fixed: Value,
     /// The list of nodes as the host last had it; none where it never had one.
     pub known: Option<Listing>,
     pub start: Start,
@@ -64,7 +73,11 @@
 }
 
 pub fn told(text: &str) -> Result<Told, String> {
-    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let mut fixed: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let file = File::deserialize(&fixed).map_err(|e| e.to_string())?;
+    if let Some(fields) = fixed.as_object_mut() {
+        ["discovery", "known", "seed"].iter().for_each(|name| _ = fields.remove(*name));
+    }
     let seed = u64::from_str_radix(&file.seed, 16)
         .map_err(|_| format!("seed: {:?} is not a number of up to 16 hex digits", file.seed))?;
     if file.limits.sockets < LEAST_SOCKETS {
@@ -73,6 +86,12 @@
             file.limits.sockets
         ));
     }
+    if file.limits.memory_mb < LEAST_MEMORY_MB {
+        return Err(format!(
+            "limits.memory_mb: {} are too few, {LEAST_MEMORY_MB} are needed",
+            file.limits.memory_mb
+        ));
+    }
     let facts = Facts::json(&file.settings).map_err(|e| format!("settings: {e}"))?;
     let start = facts.start(seed).map_err(|e| format!("settings: {e}"))?;
     let door = facts.door().map_err(|e| format!("settings: {e}"))?;
@@ -86,8 +105,60 @@
         listen: file.listen,
         discovery: file.discovery,
         sockets: file.limits.sockets,
+        memory_mb: file.limits.memory_mb,
+        fixed,
         known,
         start,
         door,
     })
 }
+
+/// The settings in which two files differ, by their dotted names, and how many more there are.
+pub fn differing(one: &Value, other: &Value) -> Vec<String> {
+    let mut names = Vec::new();
+    walk(String::new(), one, other, &mut names);
+    let more = names.len().saturating_sub(MOST_NAMED);
+    names.truncate(MOST_NAMED);
+    if more > 0 {
+        names.push(format!("{more} more"));
+    }
+    names
+}
+
+fn walk(name: String, one: &Value, other: &Value, names: &mut Vec<String>) {
+    let (Value::Object(left), Value::Object(right)) = (one, other) else {
+        if one != other {
+            names.push(name);
+        }
+        return;
+    };
+    let all: BTreeSet<&String> = left.keys().chain(right.keys()).collect();
+    for key in all {
+        let dotted = if name.is_empty() { key.clone() } else { format!("{name}.{key}") };
+        match (left.get(key), right.get(key)) {
+            (Some(one), Some(other)) => walk(dotted, one, other, names),
+            _ => names.push(dotted),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn settings_that_differ_are_named_within_a_bound() {
+        let one =
+            json!({"name": "n0", "limits": {"sockets": 9, "cores": 1.0}, "settings": {"a": {"b": [1, 2]}}});
+        assert!(differing(&one, &one).is_empty());
+        let mut other = one.clone();
+        other["limits"]["sockets"] = json!(10);
+        other["settings"]["a"]["b"] = json!([1, 3]);
+        other["settings"]["c"] = json!(true);
+        assert_eq!(differing(&one, &other), ["limits.sockets", "settings.a.b", "settings.c"]);
+        let many: serde_json::Map<String, Value> = (0..100).map(|i| (format!("s{i}"), json!(i))).collect();
+        let named = differing(&json!({}), &Value::Object(many));
+        assert_eq!((named.len(), named.last().map(String::as_str)), (MOST_NAMED + 1, Some("88 more")));
+    }
+}
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -5,6 +5,7 @@
 use crate::config::Told;
 use crate::discovery::{Line, Listing, Watch};
 use crate::leaving::Leaving;
+use crate::memory::{self, Holder};
 use crate::nodes::{Numbers, Pool, STALLS};
 use crate::outcome::{outcome, Sign};
 use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
@@ -40,6 +41,8 @@
 pub struct Client {
     pub stream: Stream,
     pub heads: Heads,
+    /// How many bytes the request that is next has in all, once its head is there.
+    pub whole: usize,
     pub serial: u64,
     pub since: Ms,
     /// How many whole requests it sent.
@@ -126,6 +129,16 @@
     Call(Call),
 }
 
+impl Peer {
+    fn held(&self) -> usize {
+        match self {
+            Peer::Client(c) => c.stream.held(),
+            Peer::Link(l) => l.stream.held() + l.answers.held(),
+            Peer::Call(c) => c.stream.held() + c.answers.held(),
+        }
+    }
+}
+
 /// A command until its answer is given and none of its hand-offs is out.
 pub struct Open {
     pub client: Option<usize>,
@@ -141,6 +154,9 @@
     pub id: String,
     pub address: Option<SocketAddr>,
     pub condition: Condition,
+    /// When it started: as the list told it, and by the loop's clock.
+    told: Option<u64>,
+    started: Option<Ms>,
 }
 
 /// Counters for the log.
@@ -153,6 +169,8 @@
     pub gone: u64,
     pub refused: u64,
     pub evicted: u64,
+    /// Connections that ended because too many bytes waited.
+    pub crowded: u64,
     pub sent: u64,
     pub opened: u64,
     pub lists: u64,
@@ -184,6 +202,8 @@
     pub leaving: Leaving,
     pub counts: Counts,
     room: Room,
+    /// How many bytes may wait in memory.
+    most_held: usize,
     pub clients: usize,
     links: usize,
     serial: u64,
@@ -220,6 +240,7 @@
             leaving,
             counts: Counts::default(),
             room: Room::new(sockets, sockets - OWN_SOCKETS),
+            most_held: memory::bound(told.memory_mb),
             clients: 0,
             links: 0,
             serial: 0,
@@ -272,6 +293,7 @@
             Ok(Peer::Client(Client {
                 stream,
                 heads: Heads::default(),
+                whole: 0,
                 serial,
                 since: now,
                 asked: 0,
@@ -299,6 +321,26 @@
         self.timers.set(since + clients::PATIENCE, timed);
     }
 
+    /// The memory that a connection takes, without the command that is open on it.
+    pub fn held(&self, key: usize) -> usize {
+        self.peers.get(key).map_or(0, Peer::held)
+    }
+
+    /// Connections that give way, as too many bytes wait in memory.
+    pub fn too_large(&self) -> Vec<usize> {
+        let command = |id: &u64| self.commands.get(id).map_or(0, |open| open.head.len() + open.body.len());
+        memory::give_way(
+            self.most_held,
+            self.peers.iter().map(|(key, peer)| match peer {
+                Peer::Client(c) => {
+                    let kind = if c.open.is_some() { Holder::Owed } else { Holder::Written };
+                    (kind, peer.held() + c.open.as_ref().map_or(0, command), key)
+                }
+                Peer::Link(_) | Peer::Call(_) => (Holder::Node, peer.held(), key),
+            }),
+        )
+    }
+
     fn standing(&self) -> impl Iterator<Item = Standing> + '_ {
         self.peers.iter().filter_map(|(key, peer)| match peer {
             Peer::Client(c) => Some(Standing { key, busy: c.busy(), asked: c.asked, since: c.since }),
@@ -428,18 +470,15 @@
             self.drop_link(key);
         }
         let (now, serial) = (self.now, self.next_serial());
-        let entered = self.enter(|poll, key| {
-            let stream = Stream::connect(poll, address, key)?;
-            Ok(Peer::Link(Link {
-                stream,
-                node,
-                serial,
-                answers: Answers::default(),
-                begun: None,
-                stage: Stage::Rests,
-            }))
-        });
-        let key = entered.ok()?;
+        let open = |floor: &mut Floor| {
+            floor.enter(|poll, key| {
+                let stream = Stream::connect(poll, address, key)?;
+                let (answers, begun, stage) = (Answers::default(), None, Stage::Rests);
+                Ok(Peer::Link(Link { stream, node, serial, answers, begun, stage }))
+            })
+        };
+        // A host that is out of descriptors must not take that for a sign of the node.
+        let key = open(self).ok().or_else(|| self.make_room(|_| true).then(|| open(self).ok())?)?;
         self.links += 1;
         self.counts.opened += 1;
         self.timers.set(now + self.door.dial.unwrap_or(DIAL), Timed::Dial(key, serial));
@@ -540,13 +579,20 @@
             _ => self.numbers.of(self.now, &line.id),
         };
         let zone = self.door.zones.iter().position(|z| *z == line.zone).unwrap_or(self.door.zones.len());
-        let started = line.started.map(|at| at as f64 - self.epoch);
+        let before = self.nodes.get(&number);
+        let started = match before.filter(|node| node.told == line.started) {
+            Some(node) => node.started,
+            // Nothing starts after now: where it seems so, the clock was wrong when this host started, and the node
+            // would stay cold for as long as the clock is behind.
+            None => line.started.map(|at| (at as f64 - self.epoch).min(self.now)),
+        };
         let entry = Entry { node: 0, zone, shard: line.shard, condition: line.condition, started };
         if line.condition == Condition::Gone {
             self.forget_node(number);
             return Some((number, entry));
         }
-        let node = Node { id: line.id.clone(), address: line.address, condition: line.condition };
+        let (id, told) = (line.id.clone(), line.started);
+        let node = Node { id, address: line.address, condition: line.condition, told, started };
         let before = self.nodes.insert(number, node);
         if line.condition != Condition::Ready || before.is_some_and(|n| n.address != line.address) {
             self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod floor;
 mod leaving;
+mod memory;
 mod nodes;
 mod outcome;
 
@@ -18,6 +19,7 @@
 use magpiewick_http1::{self as http1, Answers, Refused};
 use magpiewick_link::{Clock, Poll, Registered, Stream, Woken};
 use outcome::Sign;
+use serde_json::Value;
 use std::io::{self, ErrorKind, Read};
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
@@ -32,6 +34,8 @@
 /// Connections accepted a turn, and rest for the listener when there is no descriptor left.
 const ACCEPTS: usize = 64;
 const ACCEPT_REST: Ms = 50.0;
+/// What a connection seldom holds: below it all of them together need no look.
+const SELDOM: usize = 32 << 10;
 /// How often the counters are told.
 const TELL_EVERY: Ms = 5000.0;
 /// A host that discovery does not answer is ready after this time with the list that it was given.
@@ -59,6 +63,8 @@
     term: Registered<UnixStream>,
     hang_up: Registered<UnixStream>,
     path: PathBuf,
+    /// What the file says that only a start takes in.
+    fixed: Value,
     ready_at: Ms,
     next_command: u64,
     tells_at: Ms,
@@ -100,6 +106,7 @@
             term,
             hang_up,
             path: path.to_path_buf(),
+            fixed: told.fixed,
             ready_at: now + READY_WITHOUT_LIST,
             next_command: 0,
             tells_at: now + TELL_EVERY,
@@ -144,13 +151,32 @@
                         signalled(&mut self.hang_up);
                         self.read_anew();
                     }
-                    key => self.readable(key - FIRST_KEY),
+                    key => {
+                        self.readable(key - FIRST_KEY);
+                        self.sheds(key - FIRST_KEY);
+                    }
                 }
             }
             self.timed();
         }
     }
 
+    /// Keeps what waits in memory within its bound, where a connection that was just read holds more than usual.
+    fn sheds(&mut self, key: usize) {
+        if self.floor.held(key) < SELDOM {
+            return;
+        }
+        for key in self.floor.too_large() {
+            self.floor.counts.crowded += 1;
+            match self.floor.peers.get(key) {
+                Some(Peer::Client(_)) => self.client_gone(key),
+                Some(Peer::Link(_)) => self.floor.end_link(key, Sign::Spoilt),
+                Some(Peer::Call(_)) => self.call_failed("its answer is too large for the memory"),
+                None => {}
+            }
+        }
+    }
+
     fn wakes_at(&self) -> Ms {
         let floor = &self.floor;
         let closes = floor.leaving.closes_at().filter(|_| self.listener.is_some());
@@ -179,7 +205,6 @@
             }
             for key in std::mem::take(&mut self.floor.again) {
                 self.flush_client(key);
-                self.requests(key);
             }
             if self.floor.owed.is_empty() && self.floor.again.is_empty() {
                 return;
@@ -194,9 +219,10 @@
                 Ok((stream, _)) => self.floor.accept(stream),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // No descriptor is left: a newcomer takes the place of one that waits for nothing.
+                Err(_) if self.floor.make_room(|_| true) => {}
                 Err(_) => {
-                    // No descriptor is left, or the newcomer has gone: without a rest the loop would spin.
-                    self.floor.make_room(|_| true);
+                    // Nobody gives way: without a rest the loop would spin.
                     self.accepts_from = self.floor.now + ACCEPT_REST;
                     _ = listener.watch(false, false);
                     return;
@@ -315,6 +341,10 @@
         if client.stream.pending() > 0 {
             return self.floor.client_waits(key, now);
         }
+        // What came early waited for the answer before it to be gone.
+        if client.open.is_none() && !client.closing && !client.stream.input().is_empty() {
+            return self.requests(key);
+        }
         if client.closing && client.open.is_none() {
             // What it still sends is read for a while and thrown away: an end with bytes unread would take the
             // answer away from a client that has not read it yet.
@@ -344,11 +374,11 @@
         if empty {
             client.began = now - age;
         }
-        if empty || client.open.is_none() {
+        if empty || !client.busy() {
             client.came = now - age;
         }
         // Early bytes wait within a bound; the rest waits at the client.
-        if matches!(filled, Ok(true)) && client.open.is_some() {
+        if matches!(filled, Ok(true)) && client.busy() {
             _ = client.stream.set_reading(false);
         }
         self.requests(key);
@@ -358,9 +388,14 @@
     fn requests(&mut self, key: usize) {
         let (now, ready) = (self.floor.now, self.ready());
         let Some(client) = self.floor.client(key) else { return };
-        if client.open.is_some() || client.closing || client.stream.input().is_empty() {
+        // One that does not read its answers would else have the host hold one for each request that it sent.
+        if client.busy() || client.closing || client.stream.input().is_empty() {
             return;
         }
+        if client.stream.input().len() < client.whole {
+            let began = client.began;
+            return self.floor.client_waits(key, began);
+        }
         _ = client.stream.set_reading(true);
         let mut heads = client.heads.clone();
         let input = client.stream.take_input();
@@ -380,12 +415,13 @@
         };
         let whole = head + request.body;
         if input.len() < whole {
-            // The head is found again when the body is there; it is short.
+            // The head is found again when the body is there.
+            client.whole = whole;
             client.stream.give_back(input, 0);
             let began = client.began;
             return self.floor.client_waits(key, began);
         }
-        client.heads = http1::Heads::default();
+        (client.heads, client.whole) = (http1::Heads::default(), 0);
         let came = client.came;
         (client.asked, client.since, client.last) = (client.asked.saturating_add(1), now, request.close);
         if !http1::begins_like_a_request(&input[whole..]) {
@@ -537,8 +573,12 @@
             Ok(told) => told,
             Err(why) => return tracing::error!(why, "the new configuration is not taken"),
         };
+        let late = config::differing(&self.fixed, &told.fixed);
+        if !late.is_empty() {
+            tracing::warn!(settings = late.join(", "), "these have changed and wait for a restart");
+        }
         if told.discovery == self.floor.discovery {
-            return tracing::info!("the new configuration changes nothing");
+            return tracing::info!("the new configuration has nothing that is taken at once");
         }
         tracing::info!(discovery = %told.discovery, "discovery is at another address");
         self.floor.discovery = told.discovery;
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,64 @@
+//! Who gives way where too many bytes wait in memory; free of I/O.
+
+/// The part of the memory's limit that bytes on their way may take. The other half is for the program, its tables,
+/// the list of nodes, and the room that buffers have beyond what they hold.
+const PART: f64 = 0.5;
+
+/// How many bytes may wait at once.
+pub fn bound(limit_mb: f64) -> usize {
+    (limit_mb * PART * f64::from(1 << 20)) as usize
+}
+
+/// What a connection holds: a client's that is owed an answer never gives way; one to a node does before a client
+/// whose answer is on its way, as what it was asked can still get an answer of another kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Holder {
+    Node,
+    Written,
+    Owed,
+}
+
+/// Those that give way: of each kind the largest first, until the rest is within the bound. Guards against many
+/// large answers at once, and against clients that read theirs slowly; each alone is within its own bound. It could
+/// harm where a node's answers are large and the memory is small: a hand-off that would have been answered.
+pub fn give_way(bound: usize, all: impl Iterator<Item = (Holder, usize, usize)>) -> Vec<usize> {
+    let mut all: Vec<(Holder, usize, usize)> = all.filter(|(_, bytes, _)| *bytes > 0).collect();
+    let mut held: usize = all.iter().map(|a| a.1).sum();
+    if held <= bound {
+        return Vec::new();
+    }
+    all.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
+    let mut gone = Vec::new();
+    for (_, bytes, key) in all.into_iter().take_while(|a| a.0 != Holder::Owed) {
+        if held <= bound {
+            break;
+        }
+        held -= bytes;
+        gone.push(key);
+    }
+    gone
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    quickcheck! {
+        /// A plain model: one after the other, whoever holds most of the cheapest kind goes while there is too much.
+        fn the_largest_go_until_the_rest_fits(all: Vec<(u8, u8)>, bound: u16) -> bool {
+            let kinds = [Holder::Node, Holder::Written, Holder::Owed];
+            let all = all.iter().enumerate();
+            let all: Vec<_> =
+                all.map(|(key, (kind, b))| (kinds[usize::from(kind % 3)], usize::from(*b), key)).collect();
+            let (mut plain, mut gone) = (all.clone(), Vec::new());
+            while plain.iter().map(|p| p.1).sum::<usize>() > usize::from(bound) {
+                let rank = |p: &(Holder, usize, usize)| (std::cmp::Reverse(p.0), p.1, std::cmp::Reverse(p.2));
+                let free = (0..plain.len()).filter(|at| plain[*at].0 != Holder::Owed && plain[*at].1 > 0);
+                let Some(most) = free.max_by_key(|at| rank(&plain[*at])) else { break };
+                gone.push(plain.remove(most).2);
+            }
+            give_way(usize::from(bound), all.into_iter()) == gone
+        }
+    }
+}
