Spread times to come back, and show that nodes which return are not stormed

Seen: 200 commands that fall late together were each told 500 ms to come back (Brain::end), so clients who follow it return in one moment. The time is now half to all of the longest that clients follow, by the host's own chance; the test that spreads 200 bounces over tenths failed before (all in the last).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -58,6 +58,9 @@
         /// Send every command by itself, whatever the file says of merging
         #[arg(long)]
         alone: bool,
+        /// Know nothing of cold nodes and tell no time to come back, to compare with
+        #[arg(long, hide = true)]
+        undamped: bool,
     },
     /// Check a settings file; all its faults are named at once
     Check { file: PathBuf },
@@ -80,6 +83,9 @@
         /// Break this rule, or another promise, in the rig, to see the audit find it
         #[arg(long, value_parser = planted)]
         plant: Option<Planted>,
+        /// Play it a second time with hosts that damp no storm, and report both
+        #[arg(long)]
+        undamped: bool,
         /// Write a line for each command, with its one final answer, to this file
         #[arg(long)]
         pairs: Option<PathBuf>,
@@ -197,10 +203,13 @@
             );
             Ok(0)
         }
-        Task::Serve { number, listen, list, seed, bare, alone, .. } => {
+        Task::Serve { number, listen, list, seed, bare, alone, undamped, .. } => {
             if alone {
                 sheet.host.send_alone();
             }
+            if undamped {
+                sheet.host.damp_nothing();
+            }
             sheet.host.number = number.unwrap_or(sheet.host.number);
             sheet.host.listen = listen.unwrap_or(sheet.host.listen);
             sheet.host.list.address = list.unwrap_or(sheet.host.list.address);
@@ -218,12 +227,17 @@
         }
         Task::List { .. } if sheet.fleet.is_some() => stand_in(sheet, true),
         Task::List { .. } => Ok(missing(file, "standin")),
-        Task::Drill { seed, format, plant, pairs, .. } => {
+        Task::Drill { seed, format, plant, undamped, pairs, .. } => {
             let Some(fleet) = &sheet.fleet else { return Ok(missing(file, "standin")) };
             let Some(drill_sheet) = &sheet.drill else { return Ok(missing(file, "traffic")) };
             logs::start(&sheet.host.log);
             let program = std::env::current_exe()?;
-            let drilled = drill(&program, file, (&sheet.host, fleet, drill_sheet), seed, plant)?;
+            let play =
+                |undamped| drill(&program, file, (&sheet.host, fleet, drill_sheet), seed, plant, undamped);
+            let mut drilled = play(false)?;
+            if undamped {
+                drilled.undamped = Some(Box::new(play(true)?));
+            }
             if let Some(path) = pairs {
                 write_pairs(&path, &drilled)?;
             }
@@ -406,6 +420,24 @@
     out.flush()
 }
 
+fn tell_storms(d: &Drilled, which: &str) {
+    let Some(storms) = &d.verdict.storms else { return };
+    println!("{which}quiet payoff {:.3}, {:.2} tries a command", storms.quiet_payoff, storms.tries);
+    for r in &storms.returns {
+        let back =
+            r.recovered_ms.map_or("never".to_string(), |after| format!("after {:.1} s", after / 1000.0));
+        println!(
+            "{which}nodes {:?} back at {:.1} s: at most {:.2} times what one can do in 100 ms, {:.0}% of it later tries, \
+             fell {} times; payoff back {back}",
+            r.nodes,
+            r.at_ms / 1000.0,
+            r.most_load,
+            r.later * 100.0,
+            r.fell
+        );
+    }
+}
+
 fn tell(d: &Drilled, format: Form) -> io::Result<()> {
     if let Form::Json = format {
         println!("{}", serde_json::to_string_pretty(d)?);
@@ -436,10 +468,15 @@
             v.switched, v.stale, v.stale_settled, v.stale_bounced, v.stale_scrapped
         );
     }
+    tell_storms(d, "");
+    if let Some(undamped) = &d.undamped {
+        tell_storms(undamped, "undamped: ");
+    }
     for rule in Rule::ALL {
+        let Some(checked) = d.verdict.checked.get(rule.name()) else { continue };
         let found: Vec<_> = d.verdict.findings.iter().filter(|f| f.rule == rule).collect();
         let word = if found.is_empty() { "kept" } else { "BROKEN" };
-        println!("  {:7} {word:6} checked {}", rule.name(), d.verdict.checked[rule.name()]);
+        println!("  {:7} {word:6} checked {checked}", rule.name());
         for f in found.iter().take(5) {
             println!(
                 "    at {:.0} ms host {:x} node {:?} command {:?}: {}",
--- a/crates/cli/tests/drills.rs
+++ b/crates/cli/tests/drills.rs
@@ -21,8 +21,8 @@
 }
 
 /// A good day: every rule had work to do and was kept, and every try is accounted for.
-fn kept(name: &str, seed: &str) -> serde_json::Value {
-    let (code, found) = drill(name, &["--seed", seed]);
+fn kept(name: &str, seed: &[&str]) -> serde_json::Value {
+    let (code, found) = drill(name, &[&["--seed"], seed].concat());
     assert_eq!((code, &found["findings"]), (Some(0), &serde_json::json!([])), "{found:#}");
     for (rule, checked) in found["checked"].as_object().unwrap() {
         assert!(checked.as_u64().unwrap() > 0, "{rule} had nothing to check");
@@ -35,13 +35,38 @@
 
 #[test]
 fn the_bad_day_keeps_every_rule() {
-    let taken: u64 = ["1", "2", "3"].iter().map(|s| kept("bad-day.hcl", s)["taken"].as_u64().unwrap()).sum();
+    let taken: u64 =
+        ["1", "2", "3"].iter().map(|s| kept("bad-day.hcl", &[s])["taken"].as_u64().unwrap()).sum();
     assert!(taken > 250_000, "{taken} commands in three days");
 }
 
+#[test]
+fn nodes_that_come_back_are_not_stormed_whatever_clients_do() {
+    let same = |found: serde_json::Value| {
+        let returns = found["storms"]["returns"].as_array().unwrap().clone();
+        assert_eq!(returns.len(), 3, "{found:#}");
+        assert!(
+            returns.iter().all(|r| r["fell"] == 0 && r["most_load"].as_f64().unwrap() > 0.3),
+            "{found:#}"
+        );
+        found["storms"]["tries"].as_f64().unwrap()
+    };
+    let asked = ["1", "2"].map(|seed| same(kept("retry-storm.hcl", &[seed])));
+    // Clients who hear no time to come back and ask again at once ask much more often, and nodes notice nothing.
+    let deaf = same(kept("retry-storm.hcl", &["3", "--plant", "deaf"]));
+    assert!(
+        asked.iter().all(|tries| deaf > 2.0 * tries),
+        "{asked:?} tries a command, {deaf} of deaf clients"
+    );
+    let (code, found) = drill("retry-storm.hcl", &["--plant", "storm"]);
+    let findings = found["findings"].as_array().unwrap();
+    assert!(code == Some(1) && !findings.is_empty(), "{found:#}");
+    assert!(findings.iter().all(|f| f["rule"] == "storm"), "{found:#}");
+}
+
 #[test]
 fn each_planted_breach_is_named_and_no_other() {
-    kept("plants.hcl", "5");
+    kept("plants.hcl", &["5"]);
     for rule in ["lost", "twice", "drain", "cold", "order", "budget", "limits", "data"] {
         let (code, found) = drill("plants.hcl", &["--plant", rule]);
         assert_eq!(code, Some(1), "{rule}: {found:#}");
@@ -70,7 +95,7 @@
 #[test]
 fn merged_writes_and_cut_reads_keep_every_rule_and_need_fewer_commands() {
     for seed in ["1", "2", "3"] {
-        let found = kept("merge-split.hcl", seed);
+        let found = kept("merge-split.hcl", &[seed]);
         let host = |n: usize| &found["by_host"][n];
         let count = |n: usize, name: &str| host(n)[name].as_f64().unwrap();
         // The aim is a third; which part is held, and so may travel together, is the machine's speed too.
@@ -93,7 +118,7 @@
 #[test]
 fn data_that_moves_under_load_is_neither_lost_nor_served_by_two() {
     for seed in ["1", "2", "3"] {
-        let found = kept("extent-moves.hcl", seed);
+        let found = kept("extent-moves.hcl", &[seed]);
         let count = |name: &str| found[name].as_u64().unwrap();
         assert!(count("switched") >= 15 && count("stale") > 0, "{found:#}");
     }
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -5,6 +5,7 @@
 
 use crate::clients::{Said, Try};
 use crate::sheet::DrillSheet;
+use crate::storm::{storms, Storms};
 use magpiewick::{Group, Repeats};
 use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_nodewire::Verdict as Answer;
@@ -28,10 +29,12 @@
     Limits,
     /// Not one of the seven: an acknowledged write is where its piece of data lies.
     Data,
+    /// Nor this: what a drill states of storms. Checked where it states something.
+    Storm,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 8] = [
+    pub const ALL: [Rule; 9] = [
         Rule::Lost,
         Rule::Twice,
         Rule::Drain,
@@ -40,10 +43,11 @@
         Rule::Budget,
         Rule::Limits,
         Rule::Data,
+        Rule::Storm,
     ];
 
     pub fn name(self) -> &'static str {
-        ["lost", "twice", "drain", "cold", "order", "budget", "limits", "data"][self as usize]
+        ["lost", "twice", "drain", "cold", "order", "budget", "limits", "data", "storm"][self as usize]
     }
 }
 
@@ -80,6 +84,8 @@
     pub switched: u64,
     /// What each host did, by number.
     pub by_host: Vec<HostShare>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub storms: Option<Storms>,
 }
 
 /// What one host did.
@@ -172,7 +178,8 @@
 
 pub fn audit(e: &Evidence) -> Verdict {
     let mut a = Audit { e, tried: Vec::new(), sent: Vec::new(), verdict: Verdict::default() };
-    Rule::ALL.iter().for_each(|rule| _ = a.verdict.checked.insert(rule.name(), 0));
+    let rules = Rule::ALL.iter().filter(|rule| **rule != Rule::Storm || e.drill.storm.is_some());
+    rules.for_each(|rule| _ = a.verdict.checked.insert(rule.name(), 0));
     a.gather_tries();
     a.gather_hand_offs();
     a.answers();
@@ -188,6 +195,12 @@
     a.old_versions();
     a.stale();
     a.by_host();
+    if let Some(storm) = &e.drill.storm {
+        let (storms, found) = storms(e, storm);
+        a.checked(Rule::Storm, storms.returns.len());
+        a.verdict.storms = Some(storms);
+        a.verdict.findings.extend(found);
+    }
     a.verdict.findings.sort_by(|x, y| x.at.total_cmp(&y.at));
     a.verdict
 }
--- a/crates/drill/src/bench.rs
+++ b/crates/drill/src/bench.rs
@@ -150,8 +150,10 @@
                 let handle = Handle::start(fleet, Clock::start(), None)?;
                 handle.order(|fleet| fleet.forget_records());
                 let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
-                let through =
-                    HostProcess::start(&Program { program, file, list, seed: 1, alone: Vec::new() }, 0)?;
+                let through = HostProcess::start(
+                    &Program { program, file, list, seed: 1, alone: Vec::new(), undamped: Vec::new() },
+                    0,
+                )?;
                 for slow in [false, true] {
                     let times = if slow { 4.0 } else { 1.0 };
                     _ = handle.ask(move |fleet| fleet.ail(0, |node| node.slow = times));
@@ -191,6 +193,7 @@
         list: rig.handle.list,
         seed: 1,
         alone: Vec::new(),
+        undamped: Vec::new(),
     };
     let mut relay = Command::new(program);
     relay.arg("relay").args(rig.nodes.iter().map(SocketAddr::to_string));
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -3,7 +3,7 @@
 
 use crate::audit::Rule;
 use crate::plant::Planted;
-use crate::sheet::{DrillSheet, Traffic};
+use crate::sheet::{Again, DrillSheet, Habit, Traffic};
 use hdrhistogram::Histogram;
 use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_link::{Clock, Connection, Poll, Timers, Woken, NOTHING};
@@ -109,6 +109,9 @@
     host: usize,
     mix: usize,
     volume: usize,
+    /// How often it was tried, and by what habit.
+    tries: u32,
+    habit: Option<usize>,
 }
 
 enum Due {
@@ -224,7 +227,7 @@
             poll: poll.clone(),
             chance: WyRand::new_seed(session.seed),
             noise: drill.noise,
-            traffic: drill.traffic.clone(),
+            traffic: traffic(drill, session.planted),
             limits: sheet.start.bands.iter().map(|b| b.time_limit).collect(),
             again: sheet.start.bands.iter().map(|b| b.repeats == magpiewick::Repeats::Retriable).collect(),
             volumes: volumes.collect(),
@@ -280,6 +283,18 @@
     }
 }
 
+/// What clients do; deaf ones ask again at once, and as often as they can.
+fn traffic(drill: &DrillSheet, planted: Option<Planted>) -> Traffic {
+    let mut traffic = drill.traffic.clone();
+    if planted == Some(Planted::Deaf) {
+        traffic
+            .habits
+            .iter_mut()
+            .for_each(|h| (h.again, h.wait, h.heeds, h.tries) = (Again::Fixed, 5.0, 0.0, 1000));
+    }
+    traffic
+}
+
 impl Loop {
     fn run(&mut self, inbox: &Receiver<Order>) {
         let mut woken = Woken::default();
@@ -416,10 +431,25 @@
             first: due,
             later: false,
         };
-        self.send(InHand { attempt, line: 0, host, mix, volume });
+        let habit = self.draw_habit();
+        self.send(InHand { attempt, line: 0, host, mix, volume, tries: 0, habit });
+    }
+
+    fn draw_habit(&mut self) -> Option<usize> {
+        let all: f64 = self.traffic.habits.iter().map(|h| h.share).sum();
+        // Nothing is drawn where nothing hangs on it: a seed's day stays as it is.
+        if self.traffic.habits.is_empty() {
+            return None;
+        }
+        let mut left = self.draw() * all;
+        self.traffic.habits.iter().position(|h| {
+            left -= h.share;
+            left < 0.0
+        })
     }
 
     fn send(&mut self, mut c: InHand) {
+        c.tries += 1;
         let line = c.host * self.traffic.clients + (c.attempt.key / STRIPE) as usize % self.traffic.clients;
         let Some(life) = self.lines[line].as_ref().and_then(|l| l.life) else { return };
         c.attempt.line = line;
@@ -548,8 +578,26 @@
             Verdict::Bounced => self.tally.bounced += 1,
             Verdict::Scrapped => self.tally.scrapped += 1,
         }
-        if verdict == Verdict::Bounced && back > 0.0 && self.traffic.retries && !c.attempt.later {
-            self.come_back(c, back);
+        match c.habit.map(|habit| self.traffic.habits[habit].clone()) {
+            None if verdict == Verdict::Bounced && back > 0.0 && self.traffic.retries && !c.attempt.later => {
+                self.come_back(c, back);
+            }
+            None => {}
+            // What was scrapped may have run.
+            Some(habit) => {
+                let harmless = verdict == Verdict::Bounced || self.again[usize::from(c.attempt.band)];
+                if verdict != Verdict::Settled && harmless {
+                    self.again(c, &habit, back);
+                }
+            }
+        }
+    }
+
+    fn again(&mut self, c: InHand, habit: &Habit, back: Ms) {
+        if c.tries < habit.tries {
+            let (heeds, spread) = (self.draw(), self.draw());
+            let wait = habit.wait_after(c.tries, back, heeds, spread);
+            self.come_back(c, wait);
         }
     }
 
@@ -580,8 +628,11 @@
             let hosts = &self.volumes[c.volume].hosts;
             let next = hosts.iter().position(|h| *h == c.host).map_or(0, |i| (i + 1) % hosts.len());
             c.host = hosts[next];
-            if self.again[usize::from(c.attempt.band)] && !c.attempt.later && self.traffic.retries {
-                self.come_back(c, 0.0);
+            let harmless = self.again[usize::from(c.attempt.band)];
+            match c.habit.map(|habit| self.traffic.habits[habit].clone()) {
+                Some(habit) if harmless => self.again(c, &habit, 0.0),
+                None if harmless && !c.attempt.later && self.traffic.retries => self.come_back(c, 0.0),
+                _ => {}
             }
         }
     }
--- a/crates/drill/src/hosts.rs
+++ b/crates/drill/src/hosts.rs
@@ -16,6 +16,8 @@
     pub seed: u64,
     /// Numbers of hosts that send every command by itself.
     pub alone: Vec<u64>,
+    /// Hosts know nothing of cold nodes and tell no time to come back.
+    pub undamped: Vec<u64>,
 }
 
 /// A running host; killed when it is dropped.
@@ -34,6 +36,9 @@
         if p.alone.contains(&(number as u64)) {
             command.arg("--alone");
         }
+        if p.undamped.contains(&(number as u64)) {
+            command.arg("--undamped");
+        }
         HostProcess::run(command)
     }
 
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod run;
 mod sheet;
+mod storm;
 
 pub use audit::{audit, Evidence, Finding, Rule, Verdict};
 pub use bench::{bench, bench_reads, Measured};
@@ -16,4 +17,5 @@
 pub use plant::{plant, Planted};
 pub use relay::relay;
 pub use run::{drill, load, Drilled, LoadReport};
-pub use sheet::{read_all, DrillSheet, Mix, Sheet, Traffic};
+pub use sheet::{read_all, Again, DrillSheet, Habit, Mix, Sheet, Storm, Traffic};
+pub use storm::{Return, Storms};
--- a/crates/drill/src/plant.rs
+++ b/crates/drill/src/plant.rs
@@ -23,6 +23,8 @@
     Again,
     /// Hosts are told half of each change of the map.
     Half,
+    /// Clients hear no time to come back and ask again at once.
+    Deaf,
 }
 
 impl Planted {
@@ -36,12 +38,13 @@
             (_, "swapped") => Planted::Swapped,
             (_, "again") => Planted::Again,
             (_, "half") => Planted::Half,
+            (_, "deaf") => Planted::Deaf,
             _ => return None,
         })
     }
 
     /// The names beside those of the rules.
-    pub const OTHERS: &str = "moved, batch, swapped, again, half";
+    pub const OTHERS: &str = "moved, batch, swapped, again, half, deaf";
 
     pub fn rule(self) -> Option<Rule> {
         match self {
@@ -53,6 +56,8 @@
 
 /// How many hand-offs go by before a plant begins.
 const FIRST: u64 = 200;
+/// A node that nothing came to for so long was away.
+const AWAY: Ms = 1000.0;
 
 struct Plant {
     planted: Planted,
@@ -62,8 +67,9 @@
     free: Vec<u16>,
     patient: (u16, Ms),
     limited: Vec<u64>,
-    /// When a node was first met on this run.
+    /// When a node was first and last met on this run.
     met: HashMap<u32, Ms>,
+    last: HashMap<u32, Ms>,
     done: bool,
     /// The one that comes again.
     batch: Option<u64>,
@@ -85,6 +91,7 @@
         patient: (patient, 0.85 * waits(&patient)),
         limited: limited.collect(),
         met: HashMap::new(),
+        last: HashMap::new(),
         done: false,
         batch: None,
     };
@@ -99,6 +106,7 @@
     fn pass(&mut self, now: Ms, node: u32, arrived: Arrived) -> Vec<(Ms, Arrived)> {
         self.seen += 1;
         let met = *self.met.entry(node).or_insert(now);
+        let rested = self.last.insert(node, now).map_or(0.0, |last| now - last);
         if self.seen < FIRST {
             return vec![(0.0, arrived)];
         }
@@ -125,6 +133,8 @@
                 self.done = true;
                 others(900)
             }
+            // What a host holds for a node that was away, all at once.
+            Planted::Rule(Rule::Storm) if rested > AWAY => others(120),
             Planted::Rule(Rule::Budget) if free => vec![(1.0, next())],
             Planted::Rule(Rule::Limits) if free && limited => others(8),
             // As a host would that takes one part's refusal for the whole batch's.
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -38,6 +38,9 @@
     pub exit_codes: Vec<Option<i32>>,
     #[serde(flatten)]
     pub verdict: Verdict,
+    /// The same drill with hosts that damp nothing, where it is on storms and was asked to be compared.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub undamped: Option<Box<Drilled>>,
     #[serde(skip)]
     pub said: Vec<(Ms, Said)>,
 }
@@ -93,6 +96,7 @@
     (host, fleet, sheet): (&HostSheet, &FleetSheet, &DrillSheet),
     seed: u64,
     planted: Option<Planted>,
+    undamped: bool,
 ) -> io::Result<Drilled> {
     let is = |other: Planted| planted == Some(other);
     let (denied, swapped) = (is(Planted::Moved), is(Planted::Swapped));
@@ -106,8 +110,10 @@
         (fleet.map.swapped, fleet.map.halved) = (swapped, halved);
     });
     let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
-    let program = Program { program, file, list, seed: seed << 16 | 1, alone: sheet.alone.clone() };
     let count = host.start.hosts as usize;
+    let undamped = (0..count as u64).filter(|_| undamped).collect();
+    let seeds = seed << 16 | 1;
+    let program = Program { program, file, list, seed: seeds, alone: sheet.alone.clone(), undamped };
     let hosts =
         (0..count).map(|n| HostProcess::start(&program, n).map(Some)).collect::<io::Result<Vec<_>>>()?;
     let addresses = hosts.iter().flatten().map(|h| Host { address: Some(h.address) }).collect();
@@ -158,6 +164,7 @@
         p99_ms: tally.latency.value_at_quantile(0.99) as f64 / 1000.0,
         exit_codes,
         verdict,
+        undamped: None,
         said,
     })
 }
--- a/crates/drill/src/sheet.rs
+++ b/crates/drill/src/sheet.rs
@@ -20,6 +20,51 @@
     pub blocks: u64,
 }
 
+/// How a client waits before it asks again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Again {
+    AtOnce,
+    Fixed,
+    /// Doubled with each try, and spread over half to one and a half of it.
+    Exponential,
+}
+
+/// What some of the clients do with a command that was not settled.
+#[derive(Clone, Debug)]
+pub struct Habit {
+    pub name: String,
+    pub share: f64,
+    pub again: Again,
+    pub wait: Ms,
+    /// Tries in all.
+    pub tries: u32,
+    /// The part of the times to come back that they are told which they follow.
+    pub heeds: f64,
+}
+
+impl Habit {
+    /// The wait before the try that follows so many; `heeds` and `spread` are drawn from 0 to 1.
+    pub fn wait_after(&self, tries: u32, back: Ms, heeds: f64, spread: f64) -> Ms {
+        match self.again {
+            _ if back > 0.0 && heeds < self.heeds => back,
+            Again::AtOnce => 0.0,
+            Again::Fixed => self.wait,
+            Again::Exponential => self.wait * f64::from(1 << tries.clamp(1, 16) >> 1) * (0.5 + spread),
+        }
+    }
+}
+
+/// What a drill on storms of later tries must show.
+#[derive(Clone, Debug)]
+pub struct Storm {
+    /// The most units that a node that came back may be sent in 100 ms, as a multiple of what it can do in them.
+    pub ceiling: f64,
+    /// Until when the traffic is quiet; to which part of that payoff, and within what time, it comes back.
+    pub quiet: Ms,
+    pub recovers_to: f64,
+    pub recovers_in: Ms,
+}
+
 #[derive(Clone, Debug)]
 pub struct Traffic {
     /// Commands a second over all hosts.
@@ -33,6 +78,8 @@
     /// Whether a bounced client comes back once, when it was told to.
     pub retries: bool,
     pub mixes: Vec<Mix>,
+    /// None: a bounced client comes back as `retries` says.
+    pub habits: Vec<Habit>,
 }
 
 #[derive(Clone, Debug)]
@@ -46,6 +93,7 @@
     pub alone: Vec<u64>,
     pub traffic: Traffic,
     pub troubles: Vec<Trouble>,
+    pub storm: Option<Storm>,
 }
 
 /// Reads the blocks `drill`, `traffic` and `trouble` of a file, where it has a `traffic` block.
@@ -59,10 +107,16 @@
     let alone = drill.as_ref().map(|p| p.field("alone")).filter(|f| f.given());
     let alone = alone.map_or(Vec::new(), |f| f.wholes());
     let traffic = traffic.map(|p| read_traffic(&p, host));
+    let storm = root.part("storm").map(|p| Storm {
+        ceiling: p.field("ceiling").number(),
+        quiet: p.field("quiet").time(),
+        recovers_to: p.field("recovers_to").part_or(0.9),
+        recovers_in: p.field("recovers_in").time_or(10_000.0),
+    });
     if traffic.is_none() && drill.is_some() {
         root.fault("the block traffic is missing; a drill needs clients");
     }
-    Some(DrillSheet { time, drain_within, noise, alone, traffic: traffic?, troubles })
+    Some(DrillSheet { time, drain_within, noise, alone, traffic: traffic?, troubles, storm })
 }
 
 fn read_traffic(p: &Part, host: &HostSheet) -> Traffic {
@@ -93,6 +147,21 @@
         run: p.field("run").whole_or(1..=1_000_000, 1),
         retries: p.field("retries").flag_or(true),
         mixes,
+        habits: p.labelled("habit").iter().map(read_habit).collect(),
+    }
+}
+
+const AGAIN: [(&str, Again); 3] =
+    [("at-once", Again::AtOnce), ("fixed", Again::Fixed), ("exponential", Again::Exponential)];
+
+fn read_habit(p: &Part) -> Habit {
+    Habit {
+        name: p.label().to_string(),
+        share: p.field("share").number(),
+        again: p.field("again").one_of_or(&AGAIN, Again::Exponential),
+        wait: p.field("wait").time_or(50.0),
+        tries: p.field("tries").whole_or(1..=1000, 4) as u32,
+        heeds: p.field("heeds").part_or(1.0),
     }
 }
 
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -83,6 +83,12 @@
 }
 
 impl HostSheet {
+    /// A host that knows nothing of cold nodes and names no time to come back, to compare with.
+    pub fn damp_nothing(&mut self) {
+        (self.start.cold_share, self.start.cold_time, self.start.fall_time) = (1.0, 0.0, 0.0);
+        self.start.longest_back = 0.0;
+    }
+
     /// Sends every command by itself from now on.
     pub fn send_alone(&mut self) {
         self.merge.parts = 1;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -972,12 +972,12 @@
             (Repeats::Retriable, _) | (Repeats::Fingerprinted, Group::All) => true,
             _ => h.may_have_run.is_none(),
         };
-        let back = self.start.longest_back.min((h.ends - now).max(0.0));
+        // Spread: who is turned away together, as by a black-out, must not come back together.
+        let back = (self.start.longest_back * (1.0 - 0.5 * self.chance.part())).min((h.ends - now).max(0.0));
         self.forget(now, id);
-        if harmless {
-            Ending::Bounced { back }
-        } else {
-            Ending::Scrapped
+        match harmless {
+            true => Ending::Bounced { back },
+            false => Ending::Scrapped,
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -211,6 +211,21 @@
     assert!(w.seen[again].answered.is_some());
 }
 
+#[test]
+fn clients_turned_away_together_are_told_to_come_back_one_after_the_other() {
+    let mut w = full(start());
+    let all: Vec<usize> = (0..200).map(|_| w.take(in_volume(1))).collect();
+    w.pass(210.0);
+    let longest = start().longest_back;
+    let mut tenths = [0; 10];
+    for id in all {
+        let Some(Some(Ending::Bounced { back })) = w.seen[id].answered else { panic!("{id} is not bounced") };
+        assert!(back >= 0.5 * longest && back <= longest, "{back} of {longest}");
+        tenths[((back / longest - 0.5) * 19.99) as usize] += 1;
+    }
+    assert!(tenths.iter().all(|n| (5..40).contains(n)), "{tenths:?}");
+}
+
 #[test]
 fn a_hand_off_whose_answer_is_lost_gives_its_place_back_and_is_tried_again() {
     let mut s = start();
