--- a/src/brain.rs
+++ b/src/brain.rs
@@ -973,7 +973,7 @@
             _ => h.may_have_run.is_none(),
         };
         // Spread: who is turned away together, as by a black-out, must not come back together.
-        let back = (self.start.longest_back * (1.0 - 0.5 * self.chance.part())).min((h.ends - now).max(0.0));
+        let back = (self.start.longest_back * (1.0 - 0.25 * self.chance.part())).min((h.ends - now).max(0.0));
         self.forget(now, id);
         match harmless {
             true => Ending::Bounced { back },
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -220,8 +220,8 @@
     let mut tenths = [0; 10];
     for id in all {
         let Some(Some(Ending::Bounced { back })) = w.seen[id].answered else { panic!("{id} is not bounced") };
-        assert!(back >= 0.5 * longest && back <= longest, "{back} of {longest}");
-        tenths[((back / longest - 0.5) * 19.99) as usize] += 1;
+        assert!(back >= 0.75 * longest && back <= longest, "{back} of {longest}");
+        tenths[((back / longest - 0.75) * 39.99) as usize] += 1;
     }
     assert!(tenths.iter().all(|n| (5..40).contains(n)), "{tenths:?}");
 }
