Call one piece where the storm drill and its neighbours had two

From a second reading of the change; behaviour stays as it is. - What a cold node can do stood in the audit's cold rule and again in storm.rs: units_a_ms serves both. - The draw by shares stood three times in the clients' loop (volumes, mixes, habits): drawn, with the same draws in the same order. - storm.rs gathered all tries anew for each return: once now. Habits were cloned with an unread name at each answer: they are plain values now, without the name. - Hosts that damp nothing were a list of numbers that held all or none: a flag. - The bench of both doors had a middle of its own beside drill's spread; the rig had waiting loops beside comes_to.

--- a/crates/cli/benches/doors.rs
+++ b/crates/cli/benches/doors.rs
@@ -5,6 +5,7 @@
 #[path = "../tests/platform/rig.rs"]
 mod rig;
 
+use magpiewick_drill::spread;
 use rig::{command, Limits, Rig};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -20,11 +21,6 @@
 const PACED: usize = 16;
 const FLOOD: usize = 256;
 
-fn middle(mut figures: Vec<f64>) -> f64 {
-    figures.sort_by(f64::total_cmp);
-    figures[figures.len() / 2]
-}
-
 /// Has so many clients ask for a while, each so often or as soon as it is answered; how many were served.
 fn load(rig: &Rig, name: &str, clients: usize, every: Option<Duration>) -> usize {
     let one = |i: usize| {
@@ -58,7 +54,7 @@
         let served = load(&rig, &format!("paced{repeat}"), PACED, Some(every));
         (rig.ticks().unwrap() - before) as f64 * 1e4 / served as f64
     });
-    (middle(figures.collect()), [first, full, rig.memory()].map(|kb| kb as f64 / 1024.0))
+    (spread(figures.collect())[0], [first, full, rig.memory()].map(|kb| kb as f64 / 1024.0))
 }
 
 fn main() {
@@ -79,13 +75,8 @@
         ratios.push(cpu / other.cpu_us[0]);
         memory.push(held[1] / other.memory_mb[1]);
     }
-    for (what, mut all) in [("processor time a command", ratios), ("memory at the fullest", memory)] {
-        all.sort_by(f64::total_cmp);
-        println!(
-            "{what}: {:.2} times the other door's ({:.2} to {:.2})",
-            middle(all.clone()),
-            all[0],
-            all[ROUNDS - 1]
-        );
+    for (what, all) in [("processor time a command", ratios), ("memory at the fullest", memory)] {
+        let [middle, least, most] = spread(all);
+        println!("{what}: {middle:.2} times the other door's ({least:.2} to {most:.2})");
     }
 }
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -330,10 +330,9 @@
     assert!(rig.ticks().unwrap() - before < 20, "it spins");
     rig.nodes[0].always(Does::Writes(SERVED));
     // A node that was silent is tried again bit by bit.
-    let until = Instant::now() + rig::SOON;
-    while rig.client().asks(&command("last", "read", 0, 900)).is_none_or(|a| a.status() != 200) {
-        assert!(Instant::now() < until, "it serves nobody any more");
-    }
+    rig.comes_to("it serves again", |rig| {
+        rig.client().asks(&command("last", "read", 0, 900)).is_some_and(|a| a.status() == 200)
+    });
 }
 
 #[test]
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -368,17 +368,11 @@
     }
 
     fn is_ready(&self) {
-        let until = Instant::now() + SOON;
         let ready = b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
-        while Instant::now() < until {
-            if let Ok(mut client) = Client::to(self.host) {
-                if client.asks(ready).is_some_and(|m| m.status() == 200) {
-                    return;
-                }
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        panic!("the host did not become ready");
+        self.comes_to("the host is ready", |rig| {
+            let answer = Client::to(rig.host).ok().and_then(|mut client| client.asks(ready));
+            answer.is_some_and(|m| m.status() == 200)
+        });
     }
 
     pub fn client(&self) -> Client {
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -9,7 +9,7 @@
 use magpiewick::{Group, Repeats};
 use magpiewick_gateway::sheet::HostSheet;
 use magpiewick_nodewire::Verdict as Answer;
-use magpiewick_standin::{FleetSheet, Seen};
+use magpiewick_standin::{FleetSheet, NodeSheet, Seen};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -169,6 +169,13 @@
     })
 }
 
+/// Units that a node does in a millisecond, so long after it started cold.
+pub(crate) fn units_a_ms(fleet: &FleetSheet, n: &NodeSheet, after: Ms) -> f64 {
+    let c = fleet.cold;
+    let warmth = (c.share + (1.0 - c.share) * after / c.time).min(1.0);
+    n.cores as f64 * n.speed / fleet.unit_work * warmth
+}
+
 struct Audit<'a> {
     e: &'a Evidence<'a>,
     tried: Vec<Tried>,
@@ -454,8 +461,7 @@
         });
         for (start, node, life) in starts.collect::<Vec<_>>() {
             let Some(n) = self.e.fleet.nodes.iter().find(|n| n.number == node) else { continue };
-            let a_ms = n.cores as f64 * n.speed / self.e.fleet.unit_work;
-            let warmth = |at: Ms| (c.share + (1.0 - c.share) * (at - start) / c.time).min(1.0);
+            let a_ms = |at: Ms| units_a_ms(self.e.fleet, n, at - start);
             let cold = |s: &Sent| s.node == node && s.life == life && s.at < start + c.time + c.fall_time;
             let own: Vec<usize> = (0..self.sent.len()).filter(|i| cold(&self.sent[*i])).collect();
             self.checked(Rule::Cold, own.len());
@@ -467,7 +473,7 @@
                     .filter(|s| self.sent[**s].at >= from)
                     .map(|s| self.sent[*s].units)
                     .sum();
-                let could = c.fall_multiple * a_ms * c.fall_time * (warmth(from) + warmth(to)) / 2.0;
+                let could = c.fall_multiple * c.fall_time * (a_ms(from) + a_ms(to)) / 2.0;
                 if sum > could.max(c.units) {
                     let what = format!("sent {sum} units in {} ms, which bears {could:.0}", c.fall_time);
                     self.find(Rule::Cold, to, Some(i), None, what);
--- a/crates/drill/src/bench.rs
+++ b/crates/drill/src/bench.rs
@@ -58,7 +58,7 @@
 }
 
 /// What the middle, least and most of some figures are.
-fn spread(mut figures: Vec<f64>) -> [f64; 3] {
+pub fn spread(mut figures: Vec<f64>) -> [f64; 3] {
     figures.sort_by(f64::total_cmp);
     [figures[figures.len() / 2], figures[0], figures[figures.len() - 1]]
 }
@@ -151,7 +151,7 @@
                 handle.order(|fleet| fleet.forget_records());
                 let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
                 let through = HostProcess::start(
-                    &Program { program, file, list, seed: 1, alone: Vec::new(), undamped: Vec::new() },
+                    &Program { program, file, list, seed: 1, alone: Vec::new(), undamped: false },
                     0,
                 )?;
                 for slow in [false, true] {
@@ -193,7 +193,7 @@
         list: rig.handle.list,
         seed: 1,
         alone: Vec::new(),
-        undamped: Vec::new(),
+        undamped: false,
     };
     let mut relay = Command::new(program);
     relay.arg("relay").args(rig.nodes.iter().map(SocketAddr::to_string));
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -111,7 +111,7 @@
     volume: usize,
     /// How often it was tried, and by what habit.
     tries: u32,
-    habit: Option<usize>,
+    habit: Option<Habit>,
 }
 
 enum Due {
@@ -295,6 +295,15 @@
     traffic
 }
 
+/// Which of some shares a number from 0 to 1 falls to.
+fn drawn(number: f64, mut shares: impl Iterator<Item = f64> + Clone) -> Option<usize> {
+    let mut left = number * shares.clone().sum::<f64>();
+    shares.position(|share| {
+        left -= share;
+        left < 0.0
+    })
+}
+
 impl Loop {
     fn run(&mut self, inbox: &Receiver<Order>) {
         let mut woken = Woken::default();
@@ -383,20 +392,8 @@
     /// Draws a command: its volume by the surges, its host among the volume's, its band by the mix. A key always
     /// comes through one connection to a host, so that the order sent is the order taken.
     fn command(&mut self, due: Ms) {
-        let all: f64 = self.volumes.iter().map(|v| v.surge).sum();
-        let mut left = self.draw() * all;
-        let volume = self.volumes.iter().position(|v| {
-            left -= v.surge;
-            left < 0.0
-        });
-        let volume = volume.unwrap_or(0);
-        let shares: f64 = self.traffic.mixes.iter().map(|m| m.share).sum();
-        let mut left = self.draw() * shares;
-        let mix = self.traffic.mixes.iter().position(|m| {
-            left -= m.share;
-            left < 0.0
-        });
-        let mix = mix.unwrap_or(0);
+        let volume = drawn(self.draw(), self.volumes.iter().map(|v| v.surge)).unwrap_or(0);
+        let mix = drawn(self.draw(), self.traffic.mixes.iter().map(|m| m.share)).unwrap_or(0);
         let host = (self.draw() * self.volumes[volume].hosts.len() as f64) as usize;
         let mut host = self.volumes[volume].hosts[host];
         let (units, keys) = (self.traffic.mixes[mix].units, self.traffic.keys);
@@ -435,17 +432,13 @@
         self.send(InHand { attempt, line: 0, host, mix, volume, tries: 0, habit });
     }
 
-    fn draw_habit(&mut self) -> Option<usize> {
-        let all: f64 = self.traffic.habits.iter().map(|h| h.share).sum();
+    fn draw_habit(&mut self) -> Option<Habit> {
         // Nothing is drawn where nothing hangs on it: a seed's day stays as it is.
         if self.traffic.habits.is_empty() {
             return None;
         }
-        let mut left = self.draw() * all;
-        self.traffic.habits.iter().position(|h| {
-            left -= h.share;
-            left < 0.0
-        })
+        let habit = drawn(self.draw(), self.traffic.habits.iter().map(|h| h.share));
+        habit.map(|habit| self.traffic.habits[habit])
     }
 
     fn send(&mut self, mut c: InHand) {
@@ -578,7 +571,7 @@
             Verdict::Bounced => self.tally.bounced += 1,
             Verdict::Scrapped => self.tally.scrapped += 1,
         }
-        match c.habit.map(|habit| self.traffic.habits[habit].clone()) {
+        match c.habit {
             None if verdict == Verdict::Bounced && back > 0.0 && self.traffic.retries && !c.attempt.later => {
                 self.come_back(c, back);
             }
@@ -587,13 +580,13 @@
             Some(habit) => {
                 let harmless = verdict == Verdict::Bounced || self.again[usize::from(c.attempt.band)];
                 if verdict != Verdict::Settled && harmless {
-                    self.again(c, &habit, back);
+                    self.again(c, habit, back);
                 }
             }
         }
     }
 
-    fn again(&mut self, c: InHand, habit: &Habit, back: Ms) {
+    fn again(&mut self, c: InHand, habit: Habit, back: Ms) {
         if c.tries < habit.tries {
             let (heeds, spread) = (self.draw(), self.draw());
             let wait = habit.wait_after(c.tries, back, heeds, spread);
@@ -629,8 +622,8 @@
             let next = hosts.iter().position(|h| *h == c.host).map_or(0, |i| (i + 1) % hosts.len());
             c.host = hosts[next];
             let harmless = self.again[usize::from(c.attempt.band)];
-            match c.habit.map(|habit| self.traffic.habits[habit].clone()) {
-                Some(habit) if harmless => self.again(c, &habit, 0.0),
+            match c.habit {
+                Some(habit) if harmless => self.again(c, habit, 0.0),
                 None if harmless && !c.attempt.later && self.traffic.retries => self.come_back(c, 0.0),
                 _ => {}
             }
--- a/crates/drill/src/hosts.rs
+++ b/crates/drill/src/hosts.rs
@@ -17,7 +17,7 @@
     /// Numbers of hosts that send every command by itself.
     pub alone: Vec<u64>,
     /// Hosts know nothing of cold nodes and tell no time to come back.
-    pub undamped: Vec<u64>,
+    pub undamped: bool,
 }
 
 /// A running host; killed when it is dropped.
@@ -36,7 +36,7 @@
         if p.alone.contains(&(number as u64)) {
             command.arg("--alone");
         }
-        if p.undamped.contains(&(number as u64)) {
+        if p.undamped {
             command.arg("--undamped");
         }
         HostProcess::run(command)
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -12,7 +12,7 @@
 mod storm;
 
 pub use audit::{audit, Evidence, Finding, Rule, Verdict};
-pub use bench::{bench, bench_reads, Measured};
+pub use bench::{bench, bench_reads, spread, Measured};
 pub use clients::{Clients, Host, Said, Session, Tally, Try};
 pub use plant::{plant, Planted};
 pub use relay::relay;
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -111,9 +111,8 @@
     });
     let (program, file, list) = (program.to_path_buf(), file.to_path_buf(), handle.list);
     let count = host.start.hosts as usize;
-    let undamped = (0..count as u64).filter(|_| undamped).collect();
-    let seeds = seed << 16 | 1;
-    let program = Program { program, file, list, seed: seeds, alone: sheet.alone.clone(), undamped };
+    let (seed_of_hosts, alone) = (seed << 16 | 1, sheet.alone.clone());
+    let program = Program { program, file, list, seed: seed_of_hosts, alone, undamped };
     let hosts =
         (0..count).map(|n| HostProcess::start(&program, n).map(Some)).collect::<io::Result<Vec<_>>>()?;
     let addresses = hosts.iter().flatten().map(|h| Host { address: Some(h.address) }).collect();
--- a/crates/drill/src/sheet.rs
+++ b/crates/drill/src/sheet.rs
@@ -30,9 +30,8 @@
 }
 
 /// What some of the clients do with a command that was not settled.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Habit {
-    pub name: String,
     pub share: f64,
     pub again: Again,
     pub wait: Ms,
@@ -156,7 +155,6 @@
 
 fn read_habit(p: &Part) -> Habit {
     Habit {
-        name: p.label().to_string(),
         share: p.field("share").number(),
         again: p.field("again").one_of_or(&AGAIN, Again::Exponential),
         wait: p.field("wait").time_or(50.0),
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -1,7 +1,7 @@
 //! What nodes that came back met, and how soon clients were served as before. Pure, as the audit is, and like it a
 //! plain model of its own.
 
-use crate::audit::{Evidence, Finding, Rule};
+use crate::audit::{units_a_ms, Evidence, Finding, Rule};
 use crate::clients::Said;
 use crate::sheet::Storm;
 use magpiewick_nodewire::Verdict as Answer;
@@ -92,15 +92,20 @@
     all
 }
 
-/// What the nodes of a return were sent until they were warm, or stopped again.
-fn load(e: &Evidence, back: &mut Return) {
-    let (cold, begin) = (e.fleet.cold, back.at_ms);
+/// When each command was tried, by its mark, and whether that was a later try.
+fn tries(said: &[(Ms, Said)]) -> HashMap<u64, Vec<(Ms, bool)>> {
     let mut tries: HashMap<u64, Vec<(Ms, bool)>> = HashMap::new();
-    for (at, said) in e.said {
+    for (at, said) in said {
         if let Said::Took(t) = said {
             tries.entry(t.mark).or_default().push((*at, t.later));
         }
     }
+    tries
+}
+
+/// What the nodes of a return were sent until they were warm, or stopped again.
+fn load(e: &Evidence, tries: &HashMap<u64, Vec<(Ms, bool)>>, back: &mut Return) {
+    let (cold, begin) = (e.fleet.cold, back.at_ms);
     let mut started: HashMap<u32, Ms> = HashMap::new();
     let mut slots: BTreeMap<(u32, u64), f64> = BTreeMap::new();
     let (mut all, mut later) = (0.0, 0.0);
@@ -127,8 +132,7 @@
     for ((node, slot), units) in slots {
         let Some(n) = e.fleet.nodes.iter().find(|n| n.number == node) else { continue };
         let after = (slot as f64 + 0.5) * SLOT;
-        let warmth = (cold.share + (1.0 - cold.share) * after / cold.time).min(1.0);
-        let times = units / (n.cores as f64 * n.speed / e.fleet.unit_work * warmth * SLOT);
+        let times = units / (units_a_ms(e.fleet, n, after) * SLOT);
         if times > back.most_load {
             (back.most_load, back.most_at_ms) = (times, begin + after);
         }
@@ -150,14 +154,15 @@
     let begin = e.said.iter().find_map(took).unwrap_or(0.0);
     let all = payoffs(e);
     let quiet_payoff = payoff(&all, begin, begin + storm.quiet);
-    let tries = e.said.iter().filter_map(took).count() as f64 / all.len().max(1) as f64;
+    let by_mark = tries(e.said);
+    let tries = by_mark.values().map(Vec::len).sum::<usize>() as f64 / all.len().max(1) as f64;
     let (mut result, mut found) = (Storms { quiet_payoff, tries, returns: Vec::new() }, Vec::new());
     for (at, nodes) in returns(e.seen) {
         let stops =
             |(when, seen): &(Ms, Seen)| (matches!(seen, Seen::Stopped { .. }) && *when > at).then_some(*when);
         let until = e.seen.iter().find_map(stops).unwrap_or(begin + e.drill.time);
         let mut back = Return { at_ms: at, nodes, ..Return::default() };
-        load(e, &mut back);
+        load(e, &by_mark, &mut back);
         back.recovered_ms = recovered(&all, at, until, storm.recovers_to * quiet_payoff);
         let mut find = |at: Ms, what: String| {
             let (rule, node) = (Rule::Storm, back.nodes.first().copied());
