--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -397,38 +397,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn read(more: &str) -> Result<HostSheet, String> {
-        let text = format!(
-            "host {{\n  hosts = 2\n}}\nband \"read\" {{\n  soft_limit = \"1s\"\n  time_limit = \"2s\"\n  \
-             repeats = \"retriable\"\n}}\nplan \"all\" {{\n  rate = 10\n}}\n{more}"
-        );
-        let read = magpiewick_settings::read_text("f", &text, |r| host(r, 1));
-        read.map(|sheet| sheet.unwrap()).map_err(|faults| faults.to_string())
-    }
-
-    #[test]
-    fn peers_are_numbers_below_the_hosts_each_at_an_address_of_its_own() {
-        let peer = |label: &str, at: &str| format!("peer \"{label}\" {{\n  address = \"{at}\"\n}}\n");
-        assert!(read("").unwrap().peers.is_empty());
-        let both = [peer("0", "127.0.0.1:7500"), peer("1", "127.0.0.1:7501")].concat();
-        assert_eq!(read(&both).unwrap().peers.into_keys().collect::<Vec<_>>(), [0, 1]);
-        let faults = [
-            (peer("2", "127.0.0.1:7500"), "f:12:", "expected a host's number, 0 to 1"),
-            (peer("01", "127.0.0.1:7500"), "f:12:", "expected a host's number, 0 to 1"),
-            (peer("0", "127.0.0.1:0"), "f:13:", "expected one that other hosts can send to"),
-            (peer("0", "here"), "f:13:", "expected an address and port"),
-            (
-                [peer("0", "127.0.0.1:7500"), peer("1", "127.0.0.1:7500")].concat(),
-                "f:16:",
-                "a second peer at",
-            ),
-        ];
-        for (more, place, expected) in faults {
-            let said = read(&more).unwrap_err();
-            assert!(said.contains(place) && said.contains(expected), "{said}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/platform/src/ask/tests.rs
@@ -0,0 +1,107 @@
+use super::*;
+use magpiewick_facts::DoorBand;
+use quickcheck::quickcheck;
+
+fn door() -> Door {
+    let band = |name: &str, writes| DoorBand { name: name.to_string(), time_limit: 1000.0, writes };
+    Door {
+        bands: vec![band("read", Some(false)), band("write", Some(true))],
+        plans: vec!["basic".to_string(), "gold".to_string()],
+        zones: Vec::new(),
+        shards: Some(8),
+        most_units: 6.0,
+        dial: None,
+        idle: None,
+    }
+}
+
+const GOOD: &str = "PUT /api/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1\r\nHost: h\r\n\
+    X-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: write\r\nX-Qos-Policy: gold\r\nX-Deadline: 480m\r\n\
+    Content-Length: 3\r\nX-Placement: units=2,shard=5,hosts=3\r\n\r\n";
+
+/// The status that is given to a request; 0: it is a command.
+fn status(head: &str) -> u16 {
+    let read = magpiewick_http1::request(head.as_bytes()).unwrap_or_else(|r| panic!("{head}: {}", r.why));
+    let command = id(&read).and_then(|_| command(&read, &door(), 0.0, 1));
+    command.map_or_else(|refused| refused.status, |_| 0)
+}
+
+#[test]
+fn a_command_is_what_the_fields_say() {
+    let read = magpiewick_http1::request(GOOD.as_bytes()).unwrap();
+    assert_eq!(id(&read), Ok("9b1f03aa5c7e2d41"));
+    let taken = command(&read, &door(), 30.0, 9).unwrap();
+    assert_eq!((taken.id, taken.volume, taken.key), (9, 0x3b4d60021, 0x7f3a9c21e0b4d655));
+    let c = taken.command;
+    assert_eq!((c.band, c.plan, c.units, c.shard, c.hosts), (1, 1, 2.0, Some(5), 3.0));
+    assert_eq!(c.time_limit, 450.0, "what the client has waited is gone");
+    let new = GOOD.replace("shard=5", "shard=-1").replace("480m", "480000u");
+    let read = magpiewick_http1::request(new.as_bytes()).unwrap();
+    let c = command(&read, &door(), 0.0, 9).unwrap().command;
+    assert_eq!((c.shard, c.time_limit), (None, 480.0));
+    let long = GOOD.replace("480m", "1009m");
+    let read = magpiewick_http1::request(long.as_bytes()).unwrap();
+    let c = command(&read, &door(), 20.0, 9).unwrap().command;
+    assert_eq!(c.time_limit, 980.0, "no client waits longer than its band's time");
+}
+
+#[test]
+fn what_is_no_command_is_refused_and_never_as_a_bounce() {
+    for (from, to) in [
+        ("X-Request-Id: 9b1f03aa5c7e2d41\r\n", ""),
+        ("9b1f03aa5c7e2d41", ""),
+        ("9b1f03aa5c7e2d41", "9b1f 3aa5"),
+        ("9b1f03aa5c7e2d41", "9b1f\u{e9}"),
+        ("X-Request-Id: 9b1f03aa5c7e2d41", "X-Request-Id: a\r\nX-Request-Id: b"),
+        ("X-Class: write", "X-Class: odd"),
+        ("X-Class: write", "X-Class: read"),
+        ("X-Class: write\r\n", ""),
+        ("gold", "lead"),
+        ("480m", "480"),
+        ("480m", "-480m"),
+        ("480m", "soon"),
+        ("480m", "NaNm"),
+        ("480m", "infm"),
+        ("480m", "1e3m"),
+        ("480m", "m"),
+        ("480m", "999999999999m"),
+        ("X-Deadline: 480m\r\n", ""),
+        ("units=2", "units=0"),
+        ("units=2", "units=7"),
+        ("units=2", "units=x"),
+        ("units=2,", ""),
+        ("units=2", "units=2,units=2"),
+        ("shard=5", "shard=8"),
+        ("shard=5", "shard=-2"),
+        ("shard=5", "shard=+5"),
+        ("shard=5", "shard=99999999999"),
+        ("hosts=3", "hosts=0"),
+        ("hosts=3", "hosts=1e9"),
+        ("hosts=3", "hosts"),
+        ("00000003b4d60021", "3b4d60021"),
+        ("7f3a9c21e0b4d655", "7f3a9c21e0b4d65x"),
+        ("/7f3a9c21e0b4d655", ""),
+        ("PUT", "POST"),
+    ] {
+        let head = GOOD.replace(from, to);
+        assert!(matches!(status(&head), 400..=428), "{to:?} for {from:?}: {}", status(&head));
+    }
+    assert_eq!(status(GOOD), 0);
+}
+
+#[test]
+fn a_read_has_no_body() {
+    let read = GOOD.replace("PUT", "GET").replace("X-Class: write", "X-Class: read");
+    assert_eq!(status(&read), 405);
+    assert_eq!(status(&read.replace("Content-Length: 3\r\n", "")), 0);
+    assert_eq!(status(&read.replace("Content-Length: 3", "Content-Length: 0")), 0);
+}
+
+quickcheck! {
+    fn no_text_makes_a_time_or_place_that_is_none(text: String) -> bool {
+        let good = |t: f64| (0.0..=MOST_WAIT).contains(&t);
+        time(&text).is_none_or(good) && time(&format!("{text}m")).is_none_or(good)
+            && placement(&text, &door()).is_none_or(|(u, s, h)| u > 0.0 && s.is_none_or(|s| s < 8) && h >= 1.0)
+            && (place(&text).is_none() || text.starts_with('/'))
+    }
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -143,22 +143,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn settings_that_differ_are_named_within_a_bound() {
-        let one =
-            json!({"name": "n0", "limits": {"sockets": 9, "cores": 1.0}, "settings": {"a": {"b": [1, 2]}}});
-        assert!(differing(&one, &one).is_empty());
-        let mut other = one.clone();
-        other["limits"]["sockets"] = json!(10);
-        other["settings"]["a"]["b"] = json!([1, 3]);
-        other["settings"]["c"] = json!(true);
-        assert_eq!(differing(&one, &other), ["limits.sockets", "settings.a.b", "settings.c"]);
-        let many: serde_json::Map<String, Value> = (0..100).map(|i| (format!("s{i}"), json!(i))).collect();
-        let named = differing(&json!({}), &Value::Object(many));
-        assert_eq!((named.len(), named.last().map(String::as_str)), (MOST_NAMED + 1, Some("88 more")));
-    }
-}
+mod tests;
--- a/crates/platform/src/leaving.rs
+++ b/crates/platform/src/leaving.rs
@@ -51,24 +51,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_host_that_is_asked_to_end_serves_as_long_as_it_can_answer() {
-        let mut leaving = Leaving::new(1200.0);
-        assert!(!leaving.goes() && !leaving.closed(1e9));
-        assert!(!leaving.asked(1000.0));
-        assert!(leaving.goes() && !leaving.closed(2500.0) && leaving.closed(2600.0));
-        assert_eq!(leaving.over_at(), Some(2800.0));
-        assert!(leaving.asked(1200.0), "a second request ends it at once");
-        assert_eq!(leaving.over_at(), Some(2800.0));
-    }
-
-    #[test]
-    fn it_does_not_wait_for_time_limits_that_the_platform_does_not_heed() {
-        let mut leaving = Leaving::new(60_000.0);
-        leaving.asked(0.0);
-        assert!(leaving.over_at().is_some_and(|at| at < HEEDED + BEHIND));
-    }
-}
+mod tests;
