--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -21,13 +21,14 @@
 const KEYS: usize = 100_000;
 const VOLUMES: usize = 20_000;
 
-/// A command on its way to a node: the number of its hand-off, counted from 0, and within what time its outcome
-/// is owed to the desk.
+/// A command on its way to a node: the number of its hand-off, counted from 0, within what time its outcome is owed
+/// to the desk, and by when it must have left the host, if it has not yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
     pub command: u64,
     pub hand_off: u32,
     pub time_out: Ms,
+    pub latest: Ms,
 }
 
 /// What a driver does for the desk. None of these may call the desk back: what comes of them is told to the
@@ -97,10 +98,10 @@
 }
 
 impl InHand {
-    fn hands_off(&mut self, time_out: Ms) -> Part {
+    fn hands_off(&mut self, time_out: Ms, latest: Ms) -> Part {
         assert!(!self.over, "a hand-off of command {}, which is over", self.id);
         (self.sent, self.out) = (self.sent + 1, self.out + 1);
-        Part { command: self.id, hand_off: self.sent - 1, time_out }
+        Part { command: self.id, hand_off: self.sent - 1, time_out, latest }
     }
 }
 
@@ -176,8 +177,8 @@
     fn ask(&mut self, now: Ms, slot: usize, world: &mut impl World) {
         let Some(c) = &mut self.in_hand[slot] else { return };
         match self.brain.place(now, slot, &c.command) {
-            Where::To { node, time_out } => {
-                self.parts.push(c.hands_off(time_out));
+            Where::To { node, time_out, latest } => {
+                self.parts.push(c.hands_off(time_out, latest));
                 while let Some(other) = world.beside(&self.parts) {
                     self.ask_with(now, slot, other);
                 }
@@ -194,8 +195,8 @@
         let Some(&slot) = self.by_id.get(&other) else { return };
         let Some(c) = &mut self.in_hand[slot] else { return };
         c.command.with = Some(first);
-        if let Where::To { time_out, .. } = self.brain.place(now, slot, &c.command) {
-            self.parts.push(c.hands_off(time_out));
+        if let Where::To { time_out, latest, .. } = self.brain.place(now, slot, &c.command) {
+            self.parts.push(c.hands_off(time_out, latest));
         }
         c.command.with = None;
     }
@@ -231,6 +232,15 @@
         }
     }
 
+    /// The host ends: a command that is held gets its final answer now. One with a hand-off out waits for the outcome.
+    pub fn finish(&mut self, now: Ms, id: u64, world: &mut impl World) {
+        let Some(&slot) = self.by_id.get(&id) else { return };
+        if self.in_hand[slot].as_ref().is_some_and(|c| !c.over && c.out == 0) {
+            let ending = self.brain.end(now, slot);
+            self.end(slot, ending, world);
+        }
+    }
+
     /// The client has gone or gave up: nothing is owed any more, but hand-offs that are out go on.
     pub fn abandoned(&mut self, now: Ms, id: u64) {
         let Some(&slot) = self.by_id.get(&id) else { return };
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -24,6 +24,8 @@
     pub dial: Option<Ms>,
     /// Nodes close connections that were idle for so long.
     pub idle: Option<Ms>,
+    /// Set where lists are pushed: for how long a node may still be sent to after its drain was told.
+    pub pushed: Option<Ms>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -141,6 +143,11 @@
         })
     }
 
+    /// Whether the list of nodes must be asked for; else it is pushed.
+    fn asked(&self) -> Result<bool, Fault> {
+        Ok(self.one_of("registry_mode", &[("push", false), ("ask", true)])?.unwrap_or(false))
+    }
+
     /// What the module is told at the start of an instance.
     pub fn start(&self, seed: u64) -> Result<Start, Fault> {
         let budget = match self.time("safety.counted_over_ns")? {
@@ -151,7 +158,7 @@
             }),
             _ => None,
         };
-        let asked = self.one_of("registry_mode", &[("push", false), ("ask", true)])?.unwrap_or(false);
+        let asked = self.asked()?;
         let ask_within = self.time("safety.must_ask_in_ns")?;
         Ok(Start {
             seed,
@@ -211,6 +218,10 @@
             most_units: self.number_or("specifics.units_top", f64::INFINITY)?,
             dial: self.time("limits.dial_timeout_ns")?,
             idle: self.time("limits.keepalive_ns")?,
+            pushed: match self.asked()? {
+                true => None,
+                false => Some(self.time("safety.stop_sending_within_ns")?.unwrap_or(0.0)),
+            },
         })
     }
 }
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -918,7 +918,7 @@
         let index = self.peer(node);
         let sent = self.now;
         self.company.left(parts.iter().map(|p| p.command));
-        for &Part { command, hand_off, time_out } in parts {
+        for &Part { command, hand_off, time_out, .. } in parts {
             let Some(open) = self.open(command) else { continue };
             (open.hand_offs, open.last_node) = (hand_off + 1, Some(node));
             let version = open.version;
--- a/crates/http1/src/answer.rs
+++ b/crates/http1/src/answer.rs
@@ -1,12 +1,11 @@
 //! Answers as their bytes come: 1xx are passed over, a body counts only when it is whole.
 
+use crate::chunks::Chunks;
 use crate::head::{BadHead, Fields, Heads, MOST_FIELDS};
-use crate::{MOST_ANSWER, MOST_HEAD};
+use crate::MOST_ANSWER;
 
 /// How many 1xx may come before an answer.
 const MOST_INTERIM: u32 = 16;
-/// The longest line that says how long a chunk is.
-const MOST_CHUNK_LINE: usize = 256;
 
 /// A whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,9 +44,9 @@
     #[default]
     Head,
     Length(Answer, usize),
-    Chunks(Answer),
-    /// With how many bytes of trailing fields came so far.
-    Trailer(Answer, usize),
+    Chunks(Answer, Chunks),
+    /// A body that ends with its connection.
+    ToEnd(Answer),
 }
 
 /// Reads the answers of one connection, one at a time.
@@ -62,11 +61,21 @@
     /// The memory that an answer takes that is not whole yet.
     pub fn held(&self) -> usize {
         match &self.stage {
-            Stage::Chunks(answer) | Stage::Trailer(answer, _) => answer.body.capacity(),
+            Stage::Chunks(_, chunks) => chunks.body.capacity(),
+            Stage::ToEnd(answer) => answer.body.capacity(),
             Stage::Head | Stage::Length(..) => 0,
         }
     }
 
+    /// The peer ended its side in order, and all that came was read: the answer whose body that ends. Only an end in
+    /// order is one; a connection that broke says nothing of how much was to come.
+    pub fn ended(&mut self) -> Option<Answer> {
+        match std::mem::take(&mut self.stage) {
+            Stage::ToEnd(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
     /// Uses what it can of the input: how many bytes, and an answer where one is whole.
     pub fn read(&mut self, input: &[u8]) -> Result<(usize, Option<Answer>), Spoilt> {
         let mut used = 0;
@@ -87,38 +96,25 @@
                     self.interim = 0;
                     return Ok((used + length, Some(answer)));
                 }
-                Stage::Chunks(mut answer) => {
-                    let Some((line, data)) = chunk(rest)? else {
-                        self.stage = Stage::Chunks(answer);
-                        return Ok((used, None));
-                    };
-                    if answer.body.len() + data.len() > MOST_ANSWER {
-                        return Err(Spoilt);
-                    }
-                    answer.body.extend_from_slice(data);
-                    used += line;
-                    self.stage = match data {
-                        [] => Stage::Trailer(answer, 0),
-                        _ => {
-                            used += data.len() + 2;
-                            Stage::Chunks(answer)
-                        }
-                    };
-                }
-                Stage::Trailer(answer, before) => match line(rest, MOST_HEAD - before)? {
-                    Some(0) => {
+                Stage::Chunks(mut answer, mut chunks) => {
+                    let (taken, whole) = chunks.read(rest, MOST_ANSWER)?;
+                    used += taken;
+                    if whole {
+                        answer.body = chunks.body;
                         self.interim = 0;
-                        return Ok((used + 2, Some(answer)));
+                        return Ok((used, Some(answer)));
                     }
-                    Some(length) => {
-                        used += length + 2;
-                        self.stage = Stage::Trailer(answer, (before + length + 2).min(MOST_HEAD));
-                    }
-                    None => {
-                        self.stage = Stage::Trailer(answer, before);
-                        return Ok((used, None));
+                    self.stage = Stage::Chunks(answer, chunks);
+                    return Ok((used, None));
+                }
+                Stage::ToEnd(mut answer) => {
+                    if answer.body.len() + rest.len() > MOST_ANSWER {
+                        return Err(Spoilt);
                     }
-                },
+                    answer.body.extend_from_slice(rest);
+                    self.stage = Stage::ToEnd(answer);
+                    return Ok((input.len(), None));
+                }
                 stage => {
                     self.stage = stage;
                     return Ok((used, None));
@@ -158,41 +154,10 @@
             Ok(Some(Stage::Length(answer, length as usize)))
         }
         ([], None) if matches!(status, 204 | 304) => Ok(Some(Stage::Length(answer, 0))),
-        ([coding], None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Some(Stage::Chunks(answer))),
-        // A body that ends with its connection can never be told from one that broke off.
+        ([coding], None) if coding.eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Stage::Chunks(answer, Chunks::default())))
+        }
+        ([], None) => Ok(Some(Stage::ToEnd(Answer { close: true, ..answer }))),
         _ => Err(Spoilt),
     }
 }
-
-/// The length of a line without its end; none where that has not come.
-fn line(input: &[u8], most: usize) -> Result<Option<usize>, Spoilt> {
-    match input.iter().take(most + 2).position(|b| *b == b'\n') {
-        Some(at) if at > 0 && input[at - 1] == b'\r' => Ok(Some(at - 1)),
-        Some(_) => Err(Spoilt),
-        None if input.len() >= most + 2 => Err(Spoilt),
-        None => Ok(None),
-    }
-}
-
-/// A whole chunk: the length of its line with the end, and its data.
-fn chunk(input: &[u8]) -> Result<Option<(usize, &[u8])>, Spoilt> {
-    let Some(end) = line(input, MOST_CHUNK_LINE)? else { return Ok(None) };
-    let digits = input[..end].split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
-    let text = std::str::from_utf8(digits).map_err(|_| Spoilt)?;
-    if text.is_empty() || text.len() > 8 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return Err(Spoilt);
-    }
-    let size = usize::from_str_radix(text, 16).map_err(|_| Spoilt)?;
-    if size > MOST_ANSWER {
-        return Err(Spoilt);
-    }
-    let start = end + 2;
-    if size == 0 {
-        return Ok(Some((start, &[])));
-    }
-    match input.get(start..start + size + 2) {
-        Some(data) if data.ends_with(b"\r\n") => Ok(Some((start, &data[..size]))),
-        Some(_) => Err(Spoilt),
-        None => Ok(None),
-    }
-}
--- a/crates/http1/src/write.rs
+++ b/crates/http1/src/write.rs
@@ -18,6 +18,7 @@
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
+        501 => "Not Implemented",
         505 => "HTTP Version Not Supported",
         _ => "Unknown",
     }
@@ -48,3 +49,6 @@
     put(out, &[method.as_bytes(), b" ", target.as_bytes(), b" HTTP/1.1\r\n"]);
     fields(out, named);
 }
+
+/// The word to a client that keeps its body back until it has one.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -123,7 +123,12 @@
 
     /// Throws what was read away.
     pub fn discard(&mut self) {
-        self.input.clear();
+        self.truncate(0);
+    }
+
+    /// Throws all but the first bytes of what was read away.
+    pub fn truncate(&mut self, kept: usize) {
+        self.input.truncate(kept);
     }
 
     /// The memory that both buffers take.
@@ -201,6 +206,20 @@
         Ok(())
     }
 
+    /// Whether the peer ended or broke the connection, also behind bytes that are not read.
+    pub fn peer_ended(&self) -> bool {
+        use rustix::event::{poll, PollFd, PollFlags, Timespec};
+        let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut this = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        poll(&mut this, Some(&now)).is_ok_and(|_| this[0].revents().intersects(over))
+    }
+
+    /// Whether the kernel holds bytes that were not read.
+    pub fn unread(&self) -> bool {
+        matches!(self.socket.peek(&mut [0]), Ok(n) if n > 0)
+    }
+
     /// Tells the peer that nothing more comes, while what it sends can still be read.
     pub fn end_writing(&mut self) {
         // A peer that has gone needs no telling.
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -90,8 +90,14 @@
     Some((units?, shard?, hosts?))
 }
 
-/// The command that a request asks for; `used` of its time is over already.
-pub fn command(request: &Request, door: &Door, used: Ms, number: u64) -> Result<Taken, Refused> {
+/// The command that a request with a body of so many bytes asks for; `used` of its time is over already.
+pub fn command(
+    request: &Request,
+    bytes: usize,
+    door: &Door,
+    used: Ms,
+    number: u64,
+) -> Result<Taken, Refused> {
     let Some((volume, key)) = place(request.target) else {
         return Err(Refused { status: 404, why: "the path names no volume and piece" });
     };
@@ -104,7 +110,7 @@
         return bad("the X-Qos-Policy is not known here");
     };
     let fits = match request.method {
-        "GET" => request.body == 0 && door.bands[band].writes != Some(true),
+        "GET" => bytes == 0 && door.bands[band].writes != Some(true),
         "PUT" => door.bands[band].writes != Some(false),
         _ => false,
     };
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -7,6 +7,11 @@
 pub const PATIENCE: Ms = 2200.0;
 /// How long what a refused client still sends is read and thrown away, so that it can read the refusal first.
 pub const LINGER: Ms = 300.0;
+/// How many bytes may wait behind a request that is open, where the memory is there.
+pub const EARLY: usize = 1 << 20;
+/// How often a connection whose bytes are not read is looked at, as it may have ended behind them: half of the time
+/// within which nothing may begin any more for a client that has gone.
+pub const LOOKS: Ms = 50.0;
 /// How much of it: reading 60 MB that nobody wants would cost the processor that commands need.
 pub const THROWN: usize = 256 << 10;
 
@@ -41,6 +46,8 @@
     pub key: usize,
     /// A command is open or an answer is not written whole.
     pub busy: bool,
+    /// A part of a request came.
+    pub partial: bool,
     /// How many whole requests it sent.
     pub asked: u32,
     /// Since when it has been as it is, and its number in the order of arrival: many come in one turn of the loop.
@@ -56,7 +63,8 @@
 /// clients that connect and say nothing, or ask once and stay; it could harm clients that keep many connections and
 /// use them rarely: they connect anew.
 pub fn gives_way(now: Ms, all: impl Iterator<Item = Standing>) -> Option<usize> {
-    let dear = |s: &Standing| s.asked > 1 || now - s.since < SETTLES;
+    // One that is sending is taken last of all: its request would be lost with it.
+    let dear = |s: &Standing| (s.partial, s.asked > 1 || now - s.since < SETTLES);
     let free = all.filter(|s| !s.busy);
     let order = |a: &Standing, b: &Standing| {
         dear(a).cmp(&dear(b)).then(a.since.total_cmp(&b.since)).then(a.serial.cmp(&b.serial))
--- a/crates/platform/src/clients/tests.rs
+++ b/crates/platform/src/clients/tests.rs
@@ -3,23 +3,23 @@
 
 quickcheck! {
     /// A plain model: whoever is owed something stays; then by hand, those that are cheap to lose first.
-    fn who_gives_way_is_owed_nothing_and_asked_least(all: Vec<(bool, u8, u16)>) -> bool {
+    fn who_gives_way_is_owed_nothing_and_asked_least(all: Vec<(bool, bool, u8, u16)>) -> bool {
         let now = 500.0;
-        let standing = |(key, (busy, asked, since)): (usize, &(bool, u8, u16))| {
+        let standing = |(key, (busy, partial, asked, since)): (usize, &(bool, bool, u8, u16))| {
             let (asked, since) = (u32::from(asked % 4), f64::from(since % 4 * 100));
             // Keys are used again: a low one may be the last that came.
-            Standing { key, busy: *busy, asked, since, serial: 1000 - key as u64 }
+            Standing { key, busy: *busy, partial: *partial, asked, since, serial: 1000 - key as u64 }
         };
         let all: Vec<Standing> = all.iter().enumerate().map(standing).collect();
         let mut free: Vec<Standing> = all.iter().copied().filter(|s| !s.busy).collect();
-        free.sort_by_key(|s| (s.asked > 1 || now - s.since < 300.0, s.since as u64, s.serial));
+        free.sort_by_key(|s| (s.partial, s.asked > 1 || now - s.since < 300.0, s.since as u64, s.serial));
         gives_way(now, all.into_iter()) == free.first().map(|s| s.key)
     }
 }
 
 #[test]
 fn a_newcomer_does_not_give_way_to_the_next_before_it_can_ask() {
-    let standing = |key, asked, since| Standing { key, busy: false, asked, since, serial: 0 };
+    let standing = |key, asked, since| Standing { key, busy: false, partial: false, asked, since, serial: 0 };
     let all = [standing(1, 9, 500.0), standing(2, 0, 990.0), standing(3, 1, 300.0)];
     assert_eq!(gives_way(1000.0, all.into_iter()), Some(3), "it asked once and stayed");
     assert_eq!(gives_way(1000.0, all.into_iter().take(2)), Some(1));
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a host: the file that `PROXY_CONFIG` names. It is read as a whole or not at all.
 
-use crate::discovery::{listing, Listing};
+use crate::discovery::{listing, Listing, Pace};
 use magpiewick::Start;
 use magpiewick_facts::{Door, Facts};
 use serde::Deserialize;
@@ -52,6 +52,7 @@
     pub known: Option<Listing>,
     pub start: Start,
     pub door: Door,
+    pub pace: Pace,
 }
 
 /// The file that the environment names.
@@ -93,8 +94,11 @@
         ));
     }
     let facts = Facts::json(&file.settings).map_err(|e| format!("settings: {e}"))?;
-    let start = facts.start(seed).map_err(|e| format!("settings: {e}"))?;
+    let mut start = facts.start(seed).map_err(|e| format!("settings: {e}"))?;
     let door = facts.door().map_err(|e| format!("settings: {e}"))?;
+    // On sockets nobody brings a list that is pushed: the host's agent has it, and tells it on a watch.
+    let pace = Pace::new(door.pushed);
+    start.ask_within = start.ask_within.or(pace.within);
     if start.bands.is_empty() || start.plans.is_empty() {
         return Err("settings: there must be a band and a plan".to_string());
     }
@@ -110,6 +114,7 @@
         known,
         start,
         door,
+        pace,
     })
 }
 
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -11,6 +11,39 @@
 const WAIT: Ms = 2000.0;
 /// How long over its wait a call may take before it counts as failed: less than those 2 s by a call made anew.
 const LATE: Ms = 900.0;
+/// Where lists are pushed, the parts of the time left after a drain was told in which a watch waits and is late.
+const PUSHED_WAIT: f64 = 0.4;
+const PUSHED_LATE: f64 = 0.25;
+/// A host of pushed lists is never given less time than this, whatever its settings say.
+const LEAST_GRACE: Ms = 100.0;
+
+/// How long calls to discovery may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// How long a watch waits for news, and how long over that any call may take.
+    wait: Ms,
+    late: Ms,
+    /// For how long the host may go without news.
+    pub within: Option<Ms>,
+}
+
+impl Pace {
+    /// `pushed`: set where lists are pushed, for how long a node may still be sent to after its drain was told. There
+    /// the host's own agent tells the list, and what it has counts as told whether or not it was read: a watch that
+    /// broke unnoticed must be over, and made anew, before that time is. Guards against agents that fall silent, and
+    /// that were and are back; it costs a call without lines every so often, to the host's own machine. Where lists
+    /// are asked for, a call is a load on the one service of all hosts, and its news count when they are written.
+    pub fn new(pushed: Option<Ms>) -> Pace {
+        let Some(grace) = pushed.map(|grace| grace.max(LEAST_GRACE)) else {
+            return Pace { wait: WAIT, late: LATE, within: None };
+        };
+        Pace {
+            wait: (PUSHED_WAIT * grace).min(WAIT).floor(),
+            late: (PUSHED_LATE * grace).min(LATE),
+            within: Some(grace),
+        }
+    }
+}
 
 /// A line of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -109,18 +142,32 @@
 }
 
 /// The watch: what to ask next and by when an answer is late.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Watch {
+    pace: Pace,
     /// The generation that changes are asked after; none asks for the whole list.
     after: Option<u64>,
+    /// The last call was answered, so that the next one may wait for news. One that waits tells for seconds nothing
+    /// of whether it was heard: after a failure the first is answered at once.
+    answers: bool,
     /// A call is out until this time.
     out: Option<Ms>,
 }
 
 impl Watch {
+    pub fn new(pace: Pace) -> Watch {
+        Watch { pace, after: None, answers: false, out: None }
+    }
+
+    /// Begins with a list that the host remembers: only what has changed since is asked for. Guards a discovery that
+    /// hundreds of hosts call as they start from telling each of them all of it.
+    pub fn remembers(&mut self, generation: u64) {
+        self.after = Some(generation);
+    }
+
     /// Begins anew, as with a discovery at another address: its generations are its own.
     pub fn forget(&mut self) {
-        *self = Watch::default();
+        *self = Watch::new(self.pace);
     }
 
     pub fn is_out(&self) -> bool {
@@ -133,11 +180,12 @@
 
     /// The target of the next call.
     pub fn call(&mut self, now: Ms) -> String {
+        let wait = if self.answers { self.pace.wait } else { 0.0 };
         let (target, wait) = match self.after {
             None => ("/v1/endpoints".to_string(), 0.0),
-            Some(after) => (format!("/v1/endpoints?after={after}&wait_ms={WAIT}"), WAIT),
+            Some(after) => (format!("/v1/endpoints?after={after}&wait_ms={wait}"), wait),
         };
-        self.out = Some(now + wait + LATE);
+        self.out = Some(now + wait + self.pace.late);
         target
     }
 
@@ -149,13 +197,13 @@
             self.after = None;
             return None;
         }
-        self.out = None;
+        (self.out, self.answers) = (None, true);
         self.after = Some(listing.generation);
         Some(if listing.whole { News::Whole } else { News::Changes })
     }
 
     pub fn failed(&mut self) {
-        self.out = None;
+        (self.out, self.answers) = (None, false);
     }
 }
 
--- a/crates/platform/src/discovery/tests.rs
+++ b/crates/platform/src/discovery/tests.rs
@@ -42,7 +42,7 @@
 #[test]
 fn a_watch_follows_its_generations_and_begins_anew_where_it_cannot() {
     let told = |generation, whole| Listing { generation, whole, lines: Vec::new() };
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(Pace::new(None));
     assert_eq!(watch.call(0.0), "/v1/endpoints");
     assert!(watch.is_out());
     assert_eq!(watch.answered(&told(4, true)), Some(News::Whole));
@@ -61,3 +61,33 @@
     watch.forget();
     assert_eq!(watch.call(50.0), "/v1/endpoints");
 }
+
+#[test]
+fn after_a_failure_the_first_call_is_answered_at_once() {
+    let mut watch = Watch::new(Pace::new(None));
+    watch.remembers(7);
+    assert_eq!(watch.call(0.0), "/v1/endpoints?after=7&wait_ms=0", "a new process");
+    assert_eq!(watch.late_at(), Some(LATE));
+    watch.answered(&Listing { generation: 8, whole: false, lines: Vec::new() });
+    assert_eq!(watch.call(10.0), "/v1/endpoints?after=8&wait_ms=2000");
+    watch.failed();
+    assert_eq!(watch.call(20.0), "/v1/endpoints?after=8&wait_ms=0");
+}
+
+#[test]
+fn a_pushed_list_is_watched_within_the_time_that_a_drain_leaves() {
+    for grace in [0.0, 100.0, 250.0, 500.0, 1000.0, 60_000.0] {
+        let pace = Pace::new(Some(grace));
+        let within = pace.within.unwrap();
+        let mut watch = Watch::new(pace);
+        watch.remembers(1);
+        watch.answered(&Listing { generation: 1, whole: false, lines: Vec::new() });
+        watch.call(0.0);
+        // It falls silent at once, is found out, and the call after it is answered.
+        let found = watch.late_at().unwrap();
+        watch.failed();
+        watch.call(found);
+        assert!(watch.late_at().unwrap() <= 0.9 * within, "{grace}: {pace:?}");
+        assert!(within >= 100.0 && pace.wait >= 1.0);
+    }
+}
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -11,8 +11,8 @@
 use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
 use magpiewick_desk::{Part, Reason, World};
 use magpiewick_facts::Door;
-use magpiewick_http1::{self as http1, Answers, Heads, Refused};
-use magpiewick_link::{Clock, Poll, Stream, Timers};
+use magpiewick_http1::{self as http1, Answers, Refused, Requests};
+use magpiewick_link::{Clock, Ended, Poll, Stream, Timers};
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -35,14 +35,14 @@
     HandOff(u64, u32),
     /// A client's connection is to have done something by now.
     Client(usize, u64),
+    /// A client's connection that is not read may have ended meanwhile.
+    Unread(usize, u64),
 }
 
 /// A client's connection.
 pub struct Client {
     pub stream: Stream,
-    pub heads: Heads,
-    /// How many bytes the request that is next has in all, once its head is there.
-    pub whole: usize,
+    pub requests: Requests,
     pub serial: u64,
     pub since: Ms,
     /// How many whole requests it sent.
@@ -67,11 +67,24 @@
     pub fn busy(&self) -> bool {
         self.open.is_some() || self.stream.pending() > 0
     }
+
+    /// A part of a request came, and nothing is owed yet.
+    pub fn partial(&self) -> bool {
+        self.requests.begun() || !self.stream.input().is_empty()
+    }
 }
 
 /// What a connection to a node is at.
+#[derive(Clone, Copy)]
 pub enum Stage {
     Rests,
+    /// A hand-off that is written when the connection stands: until when its client waits, and by when it must have
+    /// left the host.
+    Coming {
+        command: u64,
+        ends: Ms,
+        latest: Ms,
+    },
     /// A hand-off; until which byte of the stream it goes, and when that was written.
     Out {
         command: u64,
@@ -108,17 +121,21 @@
     stream: &mut Stream,
     answers: &mut Answers,
 ) -> Result<Option<(http1::Answer, bool)>, Sign> {
-    let ended = stream.fill().is_err();
+    let ended = stream.fill().err();
     let input = stream.take_input();
     let (used, answer) = answers.read(&input).map_err(|_| Sign::Spoilt)?;
     let behind = used < input.len();
     stream.give_back(input, used);
+    let answer = match (answer, &ended) {
+        (None, Some(Ended::Closed)) if !behind => answers.ended(),
+        (answer, _) => answer,
+    };
     match answer {
         Some(answer) => {
-            let last = behind || ended || answer.close;
+            let last = behind || ended.is_some() || answer.close;
             Ok(Some((answer, last)))
         }
-        None if ended => Err(Sign::Broke),
+        None if ended.is_some() => Err(Sign::Broke),
         None => Ok(None),
     }
 }
@@ -132,7 +149,7 @@
 impl Peer {
     fn held(&self) -> usize {
         match self {
-            Peer::Client(c) => c.stream.held(),
+            Peer::Client(c) => c.stream.held() + c.requests.held(),
             Peer::Link(l) => l.stream.held() + l.answers.held(),
             Peer::Call(c) => c.stream.held() + c.answers.held(),
         }
@@ -167,7 +184,8 @@
     pub bounced: u64,
     pub scrapped: u64,
     pub gone: u64,
-    pub refused: u64,
+    /// By what was wrong.
+    pub refused: BTreeMap<&'static str, u64>,
     pub evicted: u64,
     /// Connections that ended because too many bytes waited.
     pub crowded: u64,
@@ -198,6 +216,8 @@
     pub watch: Watch,
     pub discovery: SocketAddr,
     pub call: Option<usize>,
+    /// A call to the discovery before the one of now, which may still tell something.
+    pub former: Option<(usize, Watch)>,
     pub wants_list: bool,
     pub leaving: Leaving,
     pub counts: Counts,
@@ -233,9 +253,10 @@
             timers: Timers::default(),
             owed: Vec::new(),
             wakes_at: 0.0,
-            watch: Watch::default(),
+            watch: Watch::new(told.pace),
             discovery,
             call: None,
+            former: None,
             wants_list: false,
             leaving,
             counts: Counts::default(),
@@ -292,8 +313,7 @@
             let stream = Stream::accepted(poll, stream, key)?;
             Ok(Peer::Client(Client {
                 stream,
-                heads: Heads::default(),
-                whole: 0,
+                requests: Requests::default(),
                 serial,
                 since: now,
                 asked: 0,
@@ -313,6 +333,25 @@
         }
     }
 
+    /// Bounds what came early on a client's connection, behind `before` bytes that were kept already: a usual request
+    /// always, as much as a burst of them while the memory is there. What is more is thrown away, and the connection
+    /// ends behind the last request that was kept. It is read all the same, as the client's end would else stand
+    /// behind bytes that are never read: nothing must begin any more for a client that has gone.
+    pub fn keep_early(&mut self, key: usize, before: usize) {
+        let least = http1::MOST_HEAD + http1::MOST_BODY;
+        let Some(client) = self.client(key).filter(|c| c.busy()) else { return };
+        let length = client.stream.input().len();
+        if client.thrown == 0 && length <= least {
+            return;
+        }
+        let all: usize = self.peers.iter().map(|(_, peer)| peer.held()).sum();
+        let most = if all > self.most_held / 2 { least } else { clients::EARLY };
+        let Some(client) = self.client(key) else { return };
+        let kept = if client.thrown > 0 { before } else { length.min(most.max(before)) };
+        client.thrown += length - kept;
+        client.stream.truncate(kept);
+    }
+
     /// A request has begun to come, or an answer to go: it must go on in time.
     pub fn client_waits(&mut self, key: usize, since: Ms) {
         let Some(client) = self.client(key).filter(|c| !c.timed) else { return };
@@ -344,7 +383,8 @@
     fn standing(&self) -> impl Iterator<Item = Standing> + '_ {
         self.peers.iter().filter_map(|(key, peer)| match peer {
             Peer::Client(c) => {
-                Some(Standing { key, busy: c.busy(), asked: c.asked, since: c.since, serial: c.serial })
+                let (busy, partial) = (c.busy(), c.partial());
+                Some(Standing { key, busy, partial, asked: c.asked, since: c.since, serial: c.serial })
             }
             _ => None,
         })
@@ -352,10 +392,17 @@
 
     /// Ends the client's connection that gives way first of some; false where none may.
     pub fn make_room(&mut self, of: impl Fn(&Standing) -> bool) -> bool {
-        let Some(key) = clients::gives_way(self.now, self.standing().filter(of)) else { return false };
-        self.counts.evicted += 1;
-        self.drop_client(key);
-        true
+        let mut all: Vec<Standing> = self.standing().filter(of).collect();
+        while let Some(key) = clients::gives_way(self.now, all.iter().copied()) {
+            // What it has just asked would be lost with it; and the end of a connection with bytes unread is a break.
+            if !self.client(key).is_some_and(|c| c.stream.unread()) {
+                self.counts.evicted += 1;
+                self.drop_client(key);
+                return true;
+            }
+            all.retain(|s| s.key != key);
+        }
+        false
     }
 
     /// Ends a client's connection; the command that was open on it.
@@ -368,10 +415,11 @@
 
     /// Writes an answer to a client, who has none coming otherwise.
     pub fn reply(&mut self, key: usize, status: u16, fields: &[(&str, &[u8])], body: &[u8], close: bool) {
-        let leaves = self.leaving.closed(self.now);
         let now = self.now;
+        let (leaves, over) = (self.leaving.closed(now), self.leaving.over_at().is_some_and(|at| now >= at));
         let Some(client) = self.client(key) else { return };
-        let close = close || leaves || client.last;
+        // What was read behind this request by now is still owed an answer.
+        let close = close || client.last || leaves && (over || !client.partial());
         http1::write_answer(client.stream.output(), status, fields, body, close);
         (client.open, client.closing, client.since) = (None, client.closing || close, now);
         self.again.push(key);
@@ -379,7 +427,7 @@
 
     /// Refuses what a client sent: nothing of it goes further.
     pub fn refuse(&mut self, key: usize, refused: Refused, close: bool) {
-        self.counts.refused += 1;
+        *self.counts.refused.entry(refused.why).or_default() += 1;
         let body = format!("{}\n", refused.why);
         self.reply(key, refused.status, &[("Content-Type", b"text/plain")], body.as_bytes(), close);
     }
@@ -407,8 +455,12 @@
     /// Ends a connection to a node and whatever hand-off is out on it.
     pub fn end_link(&mut self, key: usize, sign: Sign) {
         let Some(link) = self.drop_link(key) else { return };
-        if let Stage::Out { command, written, .. } = link.stage {
-            self.owe(command, outcome(sign, link.written()), written, None);
+        match link.stage {
+            Stage::Rests => {}
+            Stage::Coming { command, .. } => self.owe(command, outcome(sign, false), None, None),
+            Stage::Out { command, written, .. } => {
+                self.owe(command, outcome(sign, link.written()), written, None);
+            }
         }
     }
 
@@ -451,19 +503,28 @@
         let key = key.or_else(|| self.dial(node, address?));
         let Some(open) = self.commands.get_mut(&part.command) else { return };
         open.out = Some((part.hand_off, key.unwrap_or(usize::MAX), now));
-        let Some(Peer::Link(link)) = key.and_then(|key| self.peers.get_mut(key)) else {
+        let Some((key, link)) = key.and_then(|key| Some((key, self.link(key)?))) else {
             return self.owe(part.command, Outcome::NoConnection, None, None);
         };
-        let deadline = format!("X-Deadline: {}m\r\n\r\n", part.time_out.max(1.0).floor());
+        link.stage = Stage::Coming { command: part.command, ends: now + part.time_out, latest: part.latest };
+        self.timers.set(now + part.time_out, Timed::HandOff(part.command, part.hand_off));
+        self.flush_link(key);
+    }
+
+    /// Writes a hand-off to a connection that stands by now: what its node is told is what is left to the client
+    /// then. False where it is too late for that.
+    fn begin(&mut self, key: usize) -> bool {
+        let now = self.now;
+        let Some(Peer::Link(link)) = self.peers.get_mut(key) else { return true };
+        let Stage::Coming { command, ends, latest } = link.stage else { return true };
+        let Some(open) = self.commands.get(&command).filter(|_| now <= latest) else { return false };
+        let deadline = format!("X-Deadline: {}m\r\n\r\n", (ends - now).max(1.0).floor());
         let out = link.stream.output();
         [&open.head, deadline.as_bytes(), &open.body].iter().for_each(|part| out.extend_from_slice(part));
         let end = link.stream.queued_in_all();
-        link.stage = Stage::Out { command: part.command, end, written: None };
+        link.stage = Stage::Out { command, end, written: None };
         self.counts.sent += 1;
-        self.timers.set(now + part.time_out, Timed::HandOff(part.command, part.hand_off));
-        if let Some(key) = key {
-            self.flush_link(key);
-        }
+        true
     }
 
     fn dial(&mut self, node: u32, address: SocketAddr) -> Option<usize> {
@@ -504,6 +565,12 @@
         if link.stream.flush().is_err() {
             return self.end_link(key, Sign::Broke);
         }
+        if matches!(link.stage, Stage::Coming { .. }) && !link.stream.connecting() {
+            if !self.begin(key) {
+                return self.end_link(key, Sign::GivenUp);
+            }
+            return self.flush_link(key);
+        }
         let whole = link.written();
         if let Stage::Out { written, .. } = &mut link.stage {
             if whole {
@@ -516,10 +583,14 @@
     pub fn read_link(&mut self, key: usize) {
         let now = self.now;
         let Some(link) = self.link(key) else { return };
-        let Stage::Out { command, written, .. } = link.stage else {
-            // Nothing was asked: whatever comes, the connection is of no more use.
-            self.drop_link(key);
-            return;
+        let (command, written) = match link.stage {
+            Stage::Out { command, written, .. } => (command, written),
+            Stage::Coming { .. } => return self.flush_link(key),
+            Stage::Rests => {
+                // Nothing was asked: whatever comes, the connection is of no more use.
+                self.drop_link(key);
+                return;
+            }
         };
         let next = match next_answer(&mut link.stream, &mut link.answers) {
             Ok(next) => next,
@@ -616,13 +687,20 @@
     /// Takes hand-offs back of which no byte was written to a node that wants nothing new.
     fn take_back(&mut self, number: u32) {
         let unbegun = self.peers.iter().filter_map(|(key, peer)| match peer {
-            Peer::Link(link) if link.node == number => {
-                (matches!(link.stage, Stage::Out { .. }) && link.stream.connecting()).then_some(key)
-            }
+            Peer::Link(l) if l.node == number && matches!(l.stage, Stage::Coming { .. }) => Some(key),
             _ => None,
         });
         let unbegun: Vec<usize> = unbegun.collect();
-        unbegun.into_iter().for_each(|key| self.end_link(key, Sign::GivenUp));
+        unbegun.into_iter().for_each(|key| self.end_link(key, Sign::TakenBack));
+    }
+
+    /// Takes a hand-off back that is not written whole, as its client has gone: its node has not begun it, and must
+    /// not begin it any more. That is no cancel of work, and needs no leave to cancel.
+    pub fn client_left(&mut self, command: u64) {
+        let Some((_, key, _)) = self.commands.get(&command).and_then(|open| open.out) else { return };
+        if self.link(key).is_some_and(|link| !link.written()) {
+            self.end_link(key, Sign::TakenBack);
+        }
     }
 
     /// Ends a hand-off that is out, as its time is over or nobody waits for it.
--- a/crates/platform/src/leaving.rs
+++ b/crates/platform/src/leaving.rs
@@ -5,9 +5,11 @@
 /// The end comes by force no sooner than so long after the longest time limit that the platform heeds.
 const HEEDED: Ms = 3000.0;
 const BEHIND: Ms = 700.0;
-/// By how much sooner all is to be answered, and how long before that clients are sent away.
+/// By how much sooner all is to be answered, and how long before that clients are sent away; by how much sooner the
+/// process ends, so that clients that are sent away can read their last answer first.
 const MARGIN: Ms = 100.0;
 const SENDS_AWAY: Ms = 200.0;
+const OUT: Ms = 20.0;
 
 /// Where a host stands that was asked to end. Clients keep using the connections that they have for as long as
 /// those stay open, and whoever comes through a host that has gone is served by nobody: so it serves on as long as
@@ -25,9 +27,9 @@
         Leaving { since: None, lasts: longest.min(HEEDED) + BEHIND - MARGIN }
     }
 
-    /// Asked to end; true where it was asked before and is to end at once.
-    pub fn asked(&mut self, now: Ms) -> bool {
-        self.since.replace(self.since.unwrap_or(now)).is_some()
+    /// Asked to end; whoever asks again is told nothing new.
+    pub fn asked(&mut self, now: Ms) {
+        self.since.get_or_insert(now);
     }
 
     /// It is no longer ready for clients that have not found it yet.
@@ -40,6 +42,11 @@
         self.since.map(|since| since + self.lasts)
     }
 
+    /// When the process ends whether or not clients have read what they were told.
+    pub fn out_at(&self) -> Option<Ms> {
+        self.over_at().map(|over| over + MARGIN - OUT)
+    }
+
     /// When it stops to accept and sends clients away: idle connections end, and others with their answer.
     pub fn closes_at(&self) -> Option<Ms> {
         self.over_at().map(|over| over - SENDS_AWAY)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -94,7 +94,7 @@
         let term = signal(&poll, signal_hook::consts::SIGTERM, TERM)?;
         let hang_up = signal(&poll, signal_hook::consts::SIGHUP, HANG_UP)?;
         let listener = poll.register(magpiewick_link::listen(told.listen)?, LISTENER)?;
-        let round = told.start.round;
+        let (round, pushed) = (told.start.round, told.pace.within);
         tracing::info!(name = told.name, listen = %told.listen, discovery = %told.discovery, "serves");
         let floor = Floor::new(poll, clock, unix * 1000.0 - now, &told);
         let mut platform = Platform {
@@ -115,9 +115,11 @@
             let entries = platform.floor.listed(&known);
             platform.desk.listed(now, News::Remembered, &entries);
             // Clients wait for a host that has come back, a quarter of a second for discovery's answer alone, and the
-            // module knows that what is remembered may be old.
+            // module knows that what is remembered may be old. Where lists are pushed, what the agent has counts as
+            // told from the first moment, so that its answer is waited for.
             if !entries.is_empty() {
-                platform.ready_at = now;
+                platform.floor.watch.remembers(known.generation);
+                platform.ready_at = if pushed.is_none() { now } else { platform.ready_at };
             }
         }
         Ok(platform)
@@ -127,7 +129,7 @@
         let mut woken = Woken::default();
         loop {
             self.settle_all();
-            if self.floor.leaving.closed(self.floor.now) && self.ended() {
+            if self.ended() {
                 tracing::info!(counts = ?self.floor.counts, "ended");
                 return Ok(());
             }
@@ -147,10 +149,12 @@
                 match key {
                     LISTENER => self.accept(),
                     TERM => {
-                        if signalled(&mut self.term) && self.floor.leaving.asked(self.floor.now) {
-                            return Ok(());
+                        // A second request to end changes nothing: whoever would not wait has SIGKILL, and an end at
+                        // once would take answers away that are owed.
+                        if signalled(&mut self.term) {
+                            self.floor.leaving.asked(self.floor.now);
+                            tracing::info!(in_hand = self.desk.in_hand(), "asked to end");
                         }
-                        tracing::info!(in_hand = self.desk.in_hand(), "asked to end");
                     }
                     HANG_UP => {
                         signalled(&mut self.hang_up);
@@ -176,7 +180,7 @@
             match self.floor.peers.get(key) {
                 Some(Peer::Client(_)) => self.client_gone(key),
                 Some(Peer::Link(_)) => self.floor.end_link(key, Sign::Spoilt),
-                Some(Peer::Call(_)) => self.call_failed("its answer is too large for the memory"),
+                Some(Peer::Call(_)) => self.call_broke(key, "its answer is too large for the memory"),
                 None => {}
             }
         }
@@ -185,16 +189,65 @@
     fn wakes_at(&self) -> Ms {
         let floor = &self.floor;
         let closes = floor.leaving.closes_at().filter(|_| self.listener.is_some());
-        let times = [floor.timers.next_at(), floor.watch.late_at(), Some(self.tells_at), closes];
+        let over = floor.leaving.over_at().filter(|_| !floor.commands.is_empty());
+        let out = floor.leaving.out_at();
+        let times = [floor.timers.next_at(), floor.watch.late_at(), Some(self.tells_at), closes, over, out];
         let listens =
             self.listener.as_ref().filter(|_| self.accepts_from > floor.now).map(|_| self.accepts_from);
         times.into_iter().flatten().chain(listens).fold(floor.wakes_at, f64::min)
     }
 
-    /// Whether nothing is owed any more.
+    /// Whether the host has closed and nothing is owed any more. Clients that were sent away are heard out as long as
+    /// there is time: the end of the process would break their connections, and take with it what they have not read.
     fn ended(&self) -> bool {
-        let owing = |peer: &Peer| matches!(peer, Peer::Client(c) if c.busy());
-        self.floor.commands.is_empty() && !self.floor.peers.iter().any(|(_, peer)| owing(peer))
+        let (floor, leaving) = (&self.floor, &self.floor.leaving);
+        if self.listener.is_some() || !leaving.closed(floor.now) || !floor.commands.is_empty() {
+            return false;
+        }
+        let out = leaving.out_at().is_some_and(|at| floor.now >= at);
+        let clients = floor.peers.iter().filter_map(|(_, peer)| match peer {
+            Peer::Client(client) => Some(client),
+            _ => None,
+        });
+        clients.into_iter().all(|client| out && !client.busy())
+    }
+
+    /// Stops to accept, and sends away all clients that are owed nothing.
+    fn close(&mut self) {
+        // Those that the kernel has accepted for this host already are its own.
+        let mut peers = usize::MAX;
+        while std::mem::replace(&mut peers, self.floor.peers.len()) != self.floor.peers.len() {
+            self.accept();
+        }
+        self.listener = None;
+        let stays = |peer: &Peer| matches!(peer, Peer::Client(client) if !client.closing);
+        let clients = self.floor.peers.iter().filter(|(_, peer)| stays(peer));
+        let clients: Vec<usize> = clients.map(|(key, _)| key).collect();
+        for key in clients {
+            // What has come by now is still taken; nothing is after that.
+            self.read_client(key);
+            let Some(client) = self.floor.client(key) else { continue };
+            if client.busy() {
+                let serial = client.serial;
+                _ = client.stream.set_reading(false);
+                self.floor.timers.set(self.floor.now, Timed::Unread(key, serial));
+            } else {
+                client.closing = true;
+                self.flush_client(key);
+            }
+        }
+    }
+
+    /// All that is owed is answered now: the end by force comes next.
+    fn finish(&mut self) {
+        let now = self.floor.now;
+        let out: Vec<(u64, u32)> =
+            self.floor.commands.iter().filter_map(|(id, open)| Some((*id, open.out?.0))).collect();
+        out.into_iter().for_each(|(command, hand_off)| self.floor.give_up(command, hand_off, Sign::Late));
+        self.settle_all();
+        let mut held: Vec<u64> = self.floor.commands.keys().copied().collect();
+        held.sort_unstable();
+        held.into_iter().for_each(|command| self.desk.finish(now, command, &mut self.floor));
     }
 
     /// Tells the desk what is owed to it and does what it wants, until nothing is left to do now.
@@ -249,6 +302,7 @@
                 Timed::Answer(key, serial) => self.floor.look_at_answer(key, serial),
                 Timed::HandOff(command, hand_off) => self.floor.give_up(command, hand_off, Sign::Late),
                 Timed::Client(key, serial) => self.client_late(key, serial),
+                Timed::Unread(key, serial) => self.unread(key, serial),
             }
         }
         if self.floor.watch.late_at().is_some_and(|at| now >= at) {
@@ -262,11 +316,11 @@
                 _ = listener.watch(true, false);
             }
         }
-        if self.floor.leaving.closed(now) && self.listener.take().is_some() {
-            let idle = |peer: &Peer| matches!(peer, Peer::Client(c) if !c.busy());
-            let idle: Vec<usize> =
-                self.floor.peers.iter().filter(|(_, peer)| idle(peer)).map(|(key, _)| key).collect();
-            idle.into_iter().for_each(|key| _ = self.floor.drop_client(key));
+        if self.floor.leaving.closed(now) && self.listener.is_some() {
+            self.close();
+        }
+        if self.floor.leaving.over_at().is_some_and(|at| now >= at) && !self.floor.commands.is_empty() {
+            self.finish();
         }
         if now >= self.tells_at {
             self.tells_at = now + TELL_EVERY;
@@ -293,10 +347,10 @@
             self.floor.drop_client(key);
         } else if client.open.is_some() {
             // It is owed something and is not looked at until that is done.
-        } else if !client.stream.input().is_empty() && now < ends - 1.0 {
+        } else if client.partial() && now < ends - 1.0 {
             let began = client.began;
             self.floor.client_waits(key, began);
-        } else if !client.stream.input().is_empty() {
+        } else if client.partial() {
             self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
         } else if client.asked == 0 {
             self.floor.drop_client(key);
@@ -307,12 +361,10 @@
         match self.floor.peers.get_mut(key) {
             Some(Peer::Client(_)) => self.flush_client(key),
             Some(Peer::Link(_)) => self.floor.flush_link(key),
-            Some(Peer::Call(call)) => {
-                let flushed = call.stream.flush();
-                if flushed.is_err() {
-                    self.call_failed("the connection broke");
-                }
-            }
+            Some(Peer::Call(call)) => match call.stream.flush() {
+                Ok(()) => {}
+                Err(_) => self.call_broke(key, "the connection broke"),
+            },
             None => {}
         }
     }
@@ -333,10 +385,24 @@
                 open.client = None;
             }
             self.desk.abandoned(self.floor.now, command);
+            self.floor.client_left(command);
             self.floor.release(command);
         }
     }
 
+    /// A client whose bytes are not read, as the host has closed, may have gone behind them.
+    fn unread(&mut self, key: usize, serial: u64) {
+        let now = self.floor.now;
+        let Some(client) = self.floor.client(key).filter(|c| c.serial == serial) else { return };
+        if client.stream.reading() {
+            return;
+        }
+        if client.stream.peer_ended() {
+            return self.client_gone(key);
+        }
+        self.floor.timers.set(now + clients::LOOKS, Timed::Unread(key, serial));
+    }
+
     fn flush_client(&mut self, key: usize) {
         let now = self.floor.now;
         let Some(client) = self.floor.client(key) else { return };
@@ -347,13 +413,14 @@
             return self.floor.client_waits(key, now);
         }
         // What came early waited for the answer before it to be gone.
-        if client.open.is_none() && !client.closing && !client.stream.input().is_empty() {
+        if client.open.is_none() && !client.closing && client.partial() {
             return self.requests(key);
         }
         if client.closing && client.open.is_none() {
             // What it still sends is read for a while and thrown away: an end with bytes unread would take the
             // answer away from a client that has not read it yet.
             client.stream.end_writing();
+            _ = client.stream.set_reading(true);
             let serial = client.serial;
             self.floor.timers.set(now + clients::LINGER, Timed::Client(key, serial));
         }
@@ -362,8 +429,8 @@
     fn read_client(&mut self, key: usize) {
         let (now, age) = (self.floor.now, self.floor.age);
         let Some(client) = self.floor.client(key) else { return };
-        let empty = client.stream.input().is_empty();
-        let filled = client.stream.fill_to(http1::MOST_HEAD + http1::MOST_BODY);
+        let (empty, before) = (!client.partial(), client.stream.input().len());
+        let filled = client.stream.fill();
         // A connection that is not read says only that it is over.
         if filled.is_err() || !client.stream.reading() {
             return self.client_gone(key);
@@ -382,62 +449,62 @@
         if empty || !client.busy() {
             client.came = now - age;
         }
-        // Early bytes wait within a bound; the rest waits at the client.
-        if matches!(filled, Ok(true)) && client.busy() {
-            _ = client.stream.set_reading(false);
+        self.floor.keep_early(key, before);
+        match self.floor.client(key).is_some_and(|c| c.thrown > clients::THROWN) {
+            true => self.client_gone(key),
+            false => self.requests(key),
         }
-        self.requests(key);
     }
 
     /// Takes the next request of a client, if it is whole and nothing is open.
     fn requests(&mut self, key: usize) {
         let (now, ready) = (self.floor.now, self.ready());
+        let leaves = self.floor.leaving.closed(now);
         let Some(client) = self.floor.client(key) else { return };
         // One that does not read its answers would else have the host hold one for each request that it sent.
-        if client.busy() || client.closing || client.stream.input().is_empty() {
+        if client.busy() || client.closing || !client.partial() {
             return;
         }
-        if client.stream.input().len() < client.whole {
-            let began = client.began;
-            return self.floor.client_waits(key, began);
+        let began = client.began;
+        // Once the host has closed nothing more is read but what came before: a client whose request crossed the end
+        // of its connection unread asks elsewhere.
+        if !leaves {
+            _ = client.stream.set_reading(true);
         }
-        _ = client.stream.set_reading(true);
-        let mut heads = client.heads.clone();
         let input = client.stream.take_input();
-        let head = match heads.end(&input) {
-            Ok(Some(head)) => head,
-            Ok(None) => {
-                client.heads = heads;
-                client.stream.give_back(input, 0);
-                let began = client.began;
-                return self.floor.client_waits(key, began);
+        let (used, whole) = match client.requests.read(&input) {
+            Ok(read) => read,
+            Err(refused) => return self.floor.refuse(key, refused, true),
+        };
+        let Some(whole) = whole else {
+            client.stream.give_back(input, used);
+            if leaves || client.thrown > 0 {
+                client.closing = true;
+                return self.flush_client(key);
             }
-            Err(bad) => return self.floor.refuse(key, bad.into(), true),
+            if client.requests.expects() {
+                client.stream.output().extend_from_slice(http1::CONTINUE);
+                if client.stream.flush().is_err() {
+                    return self.client_gone(key);
+                }
+            }
+            return self.floor.client_waits(key, began);
         };
-        let request = match http1::request(&input[..head]) {
+        let request = match http1::request(&whole.head) {
             Ok(request) => request,
             Err(refused) => return self.floor.refuse(key, refused, true),
         };
-        let whole = head + request.body;
-        if input.len() < whole {
-            // The head is found again when the body is there.
-            client.whole = whole;
-            client.stream.give_back(input, 0);
-            let began = client.began;
-            return self.floor.client_waits(key, began);
-        }
-        (client.heads, client.whole) = (http1::Heads::default(), 0);
         let came = client.came;
         (client.asked, client.since, client.last) = (client.asked.saturating_add(1), now, request.close);
-        if !http1::begins_like_a_request(&input[whole..]) {
+        if !http1::begins_like_a_request(&input[used..]) {
             let why = "the length is not that of the body";
             return self.floor.refuse(key, Refused { status: 400, why }, true);
         }
-        if let Err(refused) = self.taken(key, &request, &input[head..whole], now - came, ready) {
+        if let Err(refused) = self.taken(key, &request, &whole.body, now - came, ready) {
             self.floor.refuse(key, refused, false);
         }
         if let Some(client) = self.floor.client(key) {
-            client.stream.give_back(input, whole);
+            client.stream.give_back(input, used);
             // What is left came early: it is as old as the last bytes at most.
             client.began = now;
         }
@@ -462,7 +529,7 @@
         let id = ask::id(request)?;
         self.next_command += 1;
         let number = self.next_command;
-        let mut taken = ask::command(request, &self.floor.door, used, number)?;
+        let mut taken = ask::command(request, body.len(), &self.floor.door, used, number)?;
         if let Some(over) = self.floor.leaving.over_at() {
             taken.command.time_limit = taken.command.time_limit.min(over - self.floor.now);
         }
@@ -524,12 +591,43 @@
         }
     }
 
+    fn end_former(&mut self) {
+        if let Some((key, _)) = self.floor.former.take() {
+            self.floor.peers.try_remove(key);
+        }
+    }
+
+    /// An answer of the discovery that was called before the host was told of another.
+    fn read_former(&mut self, key: usize) {
+        let Some((_, mut watch)) = self.floor.former.take() else { return };
+        let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
+        let listing = match floor::next_answer(&mut call.stream, &mut call.answers) {
+            Ok(Some((answer, _))) if answer.status == 200 => discovery::parsed(&answer.body).ok(),
+            Ok(None) => return self.floor.former = Some((key, watch)),
+            _ => None,
+        };
+        self.floor.peers.try_remove(key);
+        let Some((listing, news)) = listing.and_then(|l| watch.answered(&l).map(|news| (l, news))) else {
+            return;
+        };
+        self.floor.counts.lists += 1;
+        let entries = self.floor.listed(&listing);
+        self.desk.listed(self.floor.now, news, &entries);
+    }
+
     fn end_call(&mut self) {
         if let Some(key) = self.floor.call.take() {
             self.floor.peers.try_remove(key);
         }
     }
 
+    fn call_broke(&mut self, key: usize, why: &str) {
+        match self.floor.former.as_ref().is_some_and(|(former, _)| *former == key) {
+            true => self.end_former(),
+            false => self.call_failed(why),
+        }
+    }
+
     fn call_failed(&mut self, why: &str) {
         self.end_call();
         if !self.floor.watch.is_out() {
@@ -544,6 +642,9 @@
     }
 
     fn read_call(&mut self, key: usize) {
+        if self.floor.former.as_ref().is_some_and(|(former, _)| *former == key) {
+            return self.read_former(key);
+        }
         let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
         let (answer, last) = match floor::next_answer(&mut call.stream, &mut call.answers) {
             Ok(Some(next)) => next,
@@ -564,6 +665,7 @@
         if last {
             self.end_call();
         }
+        self.end_former();
         self.floor.counts.lists += 1;
         let entries = self.floor.listed(&listing);
         self.desk.listed(self.floor.now, news, &entries);
@@ -586,8 +688,12 @@
             return tracing::info!("the new configuration has nothing that is taken at once");
         }
         tracing::info!(discovery = %told.discovery, "discovery is at another address");
+        // What the old one has written by now, or writes until the new one is heard, is news as any other.
+        self.end_former();
         self.floor.discovery = told.discovery;
-        self.end_call();
+        if let Some(key) = self.floor.call.take().filter(|_| self.floor.watch.is_out()) {
+            self.floor.former = Some((key, self.floor.watch.clone()));
+        }
         self.floor.watch.forget();
         self.call();
     }
--- a/crates/platform/src/outcome.rs
+++ b/crates/platform/src/outcome.rs
@@ -17,6 +17,8 @@
     /// The time for the connection or for the hand-off ran out, or the host gave up.
     Late,
     GivenUp,
+    /// The host took it back before it was written whole, whatever the node does.
+    TakenBack,
 }
 
 /// `written`: the kernel took the last byte. Only what the platform names as proof counts as never run.
@@ -25,10 +27,11 @@
         Sign::Answer { status: 200, .. } => Outcome::Settled,
         Sign::Answer { status: 503 | 504, not_run: true } => Outcome::Full,
         Sign::Answer { .. } => Outcome::Error,
+        Sign::TakenBack if !written => Outcome::Moot,
         _ if !written => Outcome::NoConnection,
         Sign::Spoilt | Sign::Broke => Outcome::Reset,
         Sign::Late => Outcome::TimedOut,
-        Sign::GivenUp => Outcome::Cancelled,
+        Sign::GivenUp | Sign::TakenBack => Outcome::Cancelled,
     }
 }
 
--- a/crates/platform/src/outcome/tests.rs
+++ b/crates/platform/src/outcome/tests.rs
@@ -21,6 +21,8 @@
         (Sign::Late, true, Outcome::TimedOut, false),
         (Sign::GivenUp, false, Outcome::NoConnection, true),
         (Sign::GivenUp, true, Outcome::Cancelled, false),
+        (Sign::TakenBack, false, Outcome::Moot, true),
+        (Sign::TakenBack, true, Outcome::Cancelled, false),
     ] {
         let found = outcome(sign, written);
         assert_eq!((found, found.never_ran()), (meant, never_ran), "{sign:?}, written: {written}");
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -470,10 +470,12 @@
     /// The list of nodes, or what changed in it.
     pub fn listed(&mut self, now: Ms, news: News, entries: &[Entry]) {
         if news == News::Failed {
-            // Asked again soon but not in step with other hosts: the list's service has a fixed capacity.
+            // Asked again within a small part of the time that it may go without, as news count as told all the
+            // same, but not in step with other hosts: the list's service has a fixed capacity.
             let spread = 0.5 + self.chance.part();
-            self.ask_at = self.start.ask_within.map(|_| now + self.ask_rest * spread);
-            self.ask_rest = (self.ask_rest * 2.0).min(LAST_REST);
+            let Some(within) = self.start.ask_within else { return };
+            self.ask_at = Some(now + self.ask_rest * spread);
+            self.ask_rest = (self.ask_rest * 2.0).min(0.1 * within);
             return;
         }
         if news != News::Remembered {
@@ -574,9 +576,8 @@
         *all = *all * RECENT + 1.0;
         *usual = *usual * RECENT + f64::from(cmd.time_limit > *longest - 1.0);
         let spent = if *usual >= USUAL * *all { *longest - cmd.time_limit } else { 0.0 };
-        let first = now - spent;
         let ends = now + cmd.time_limit - 2.0 * self.start.round;
-        let late_at = ends.min(first + band.soft_limit);
+        let late_at = ends.min(now - spent + band.soft_limit);
         if let Some(key) = self.in_order(cmd) {
             self.keys.join(now, key, id);
         }
@@ -782,9 +783,7 @@
             due.units += h.cmd.units;
         }
         let Some(n) = &mut self.nodes[node] else { return };
-        if let Some(flow) = n.leaves_line(id, h) {
-            flow.last_finish -= h.tag.finish - h.tag.start;
-        }
+        n.leaves_line(id, h).into_iter().for_each(|flow| flow.last_finish -= h.tag.finish - h.tag.start);
         n.reset_if_idle();
         self.touch(node);
         awake.into_iter().for_each(|id| self.wake(id));
@@ -796,11 +795,9 @@
         let places =
             |n: &Node| (!n.line.is_empty()).then(|| [n.has_place(now, false), n.has_place(now, true)]);
         let places = self.nodes[node].as_ref().and_then(places).filter(|p| p[1])?;
-        let (bears, further) = (self.bears(now, node), self.budget_has_room(now));
+        self.bears(now, node).then_some(())?;
+        let further = self.budget_has_room(now);
         let most = self.start.bands.iter().map(|b| b.payoff).fold(0.0, f64::max);
-        if !bears {
-            return None;
-        }
         let leaves = |id: usize| {
             let Some(h) = &self.held[id] else { return false };
             // Guards against long commands that may wait long and pay little for the places they hold.
@@ -844,9 +841,7 @@
         let (Some(Some(h)), Some(n)) = (self.held.get_mut(id), &mut self.nodes[node]) else {
             return Where::NotYet;
         };
-        if let Some(flow) = n.leaves_line(id, h) {
-            flow.seen = now;
-        }
+        n.leaves_line(id, h).into_iter().for_each(|flow| flow.seen = now);
         n.sent = now;
         n.turn = 2.0 * self.chance.part();
         n.potential += h.cmd.units / n.frame_units;
@@ -872,11 +867,14 @@
         }
         h.hand_offs += 1;
         h.stage = Stage::Out(node);
+        let b = &self.start.bands[h.cmd.band];
+        let dropped = h.may_have_run.filter(|_| b.repeats == Repeats::Fingerprinted);
+        let latest = dropped.map_or(f64::INFINITY, |(_, at, _)| at + b.memory - self.start.round);
         h.may_have_run.get_or_insert((h.hand_offs, now, node));
         let time_out = h.ends - now;
         self.outs += 1;
         self.touch(node);
-        Where::To { node, time_out }
+        Where::To { node, time_out, latest }
     }
 
     /// Lets a lined command leave with one that was just sent, where only the order of tags forbids it to be
@@ -963,8 +961,8 @@
         }
     }
 
-    /// The final answer of a command that this host gives up: a bounce where that is known to be harmless.
-    fn end(&mut self, now: Ms, id: usize) -> Ending {
+    /// The final answer of a command of which nothing is out: a bounce where that is known to be harmless.
+    pub fn end(&mut self, now: Ms, id: usize) -> Ending {
         self.unline(id);
         let Some(Some(h)) = self.held.get(id) else { return Ending::Scrapped };
         let band = &self.start.bands[h.cmd.band];
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -137,7 +137,12 @@
 /// Where a command goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Where {
-    To { node: usize, time_out: Ms },
+    /// `latest`: by when it must have left, as a repeat that comes after that may run again.
+    To {
+        node: usize,
+        time_out: Ms,
+        latest: Ms,
+    },
     NotYet,
     Never(Ending),
 }
