Let the first call after a failure stand in line at discovery, and wait long enough for its turn

With the calls in the log (debug lines, kept): "asks discovery target=/v1/endpoints?after=0&wait_ms=0", 2 ms later "discovery refuses answer.status=503", again and again, while calls that wait were taken and answered within 1.0 s. Ruled out: too little room at discovery (hosts that waited 500 or 2000 ms all got in), and the rests between calls. At fault: `wait` 0 after a failure in discovery.rs, and 0.9 s in which a call for the whole list was to be there, less than its turn takes.

Change: the first call after a failure waits 500 ms where lists are asked for, and any has that and 0.9 s to be there.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -11,6 +11,9 @@
 const WAIT: Ms = 2000.0;
 /// How long over its wait a call may take before it counts as failed: less than those 2 s by a call made anew.
 const LATE: Ms = 900.0;
+/// How long the first call after a failure waits: it tells soon whether it was heard. Not at once: a discovery that has
+/// other callers turns away who would not wait for them (28 of 30 hosts that started together, 24 times each).
+const AGAIN: Ms = 500.0;
 /// Where lists are pushed, the parts of the time left after a drain was told in which a watch waits and is late.
 const PUSHED_WAIT: f64 = 0.4;
 const PUSHED_LATE: f64 = 0.25;
@@ -20,8 +23,9 @@
 /// How long calls to discovery may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
-    /// How long a watch waits for news, and how long over that any call may take.
+    /// How long a watch waits for news, and the first call after a failure; how long over that any call may take.
     wait: Ms,
+    again: Ms,
     late: Ms,
     /// For how long the host may go without news.
     pub within: Option<Ms>,
@@ -35,10 +39,11 @@
     /// are asked for, a call is a load on the one service of all hosts, and its news count when they are written.
     pub fn new(pushed: Option<Ms>) -> Pace {
         let Some(grace) = pushed.map(|grace| grace.max(LEAST_GRACE)) else {
-            return Pace { wait: WAIT, late: LATE, within: None };
+            return Pace { wait: WAIT, again: AGAIN, late: LATE, within: None };
         };
         Pace {
             wait: (PUSHED_WAIT * grace).min(WAIT).floor(),
+            again: 0.0,
             late: (PUSHED_LATE * grace).min(LATE),
             within: Some(grace),
         }
@@ -180,9 +185,9 @@
 
     /// The target of the next call.
     pub fn call(&mut self, now: Ms) -> String {
-        let wait = if self.answers { self.pace.wait } else { 0.0 };
+        let wait = if self.answers { self.pace.wait } else { self.pace.again };
         let (target, wait) = match self.after {
-            None => ("/v1/endpoints".to_string(), 0.0),
+            None => ("/v1/endpoints".to_string(), self.pace.again),
             Some(after) => (format!("/v1/endpoints?after={after}&wait_ms={wait}"), wait),
         };
         self.out = Some(now + wait + self.pace.late);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -570,6 +570,7 @@
             return;
         }
         let target = self.floor.watch.call(now);
+        tracing::debug!(target, "asks discovery");
         let address = self.floor.discovery;
         let key = match self.floor.call {
             Some(key) => Ok(key),
@@ -635,6 +636,7 @@
         }
         self.floor.watch.failed();
         self.floor.counts.lists_failed += 1;
+        tracing::debug!(why, "discovery failed");
         if self.floor.counts.lists_failed.is_power_of_two() {
             tracing::warn!(times = self.floor.counts.lists_failed, why, "discovery failed");
         }
@@ -653,6 +655,7 @@
             Err(_) => return self.call_failed("the connection ended"),
         };
         if !self.floor.watch.is_out() || answer.status != 200 {
+            tracing::debug!(answer.status, "discovery refuses");
             return self.call_failed("an answer that is none");
         }
         let listing = match discovery::parsed(&answer.body) {
@@ -665,6 +668,7 @@
         if last {
             self.end_call();
         }
+        tracing::debug!(listing.generation, lines = listing.lines.len(), "discovery tells");
         self.end_former();
         self.floor.counts.lists += 1;
         let entries = self.floor.listed(&listing);
