--- a/crates/platform/src/ask/tests.rs
+++ b/crates/platform/src/ask/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use magpiewick_facts::DoorBand;
+use magpiewick_http1::Framing;
 use quickcheck::quickcheck;
 
 fn door() -> Door {
@@ -20,10 +21,18 @@
     X-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: write\r\nX-Qos-Policy: gold\r\nX-Deadline: 480m\r\n\
     Content-Length: 3\r\nX-Placement: units=2,shard=5,hosts=3\r\n\r\n";
 
+/// How long the body is that a request's head names.
+fn bytes(request: &Request) -> usize {
+    match request.framing {
+        Framing::Length(length) => length,
+        Framing::Chunked => panic!("of unknown length"),
+    }
+}
+
 /// The status that is given to a request; 0: it is a command.
 fn status(head: &str) -> u16 {
     let read = magpiewick_http1::request(head.as_bytes()).unwrap_or_else(|r| panic!("{head}: {}", r.why));
-    let command = id(&read).and_then(|_| command(&read, 0, &door(), 0.0, 1));
+    let command = id(&read).and_then(|_| command(&read, bytes(&read), &door(), 0.0, 1));
     command.map_or_else(|refused| refused.status, |_| 0)
 }
 
@@ -31,18 +40,18 @@
 fn a_command_is_what_the_fields_say() {
     let read = magpiewick_http1::request(GOOD.as_bytes()).unwrap();
     assert_eq!(id(&read), Ok("9b1f03aa5c7e2d41"));
-    let taken = command(&read, 0, &door(), 30.0, 9).unwrap();
+    let taken = command(&read, bytes(&read), &door(), 30.0, 9).unwrap();
     assert_eq!((taken.id, taken.volume, taken.key), (9, 0x3b4d60021, 0x7f3a9c21e0b4d655));
     let c = taken.command;
     assert_eq!((c.band, c.plan, c.units, c.shard, c.hosts), (1, 1, 2.0, Some(5), 3.0));
     assert_eq!(c.time_limit, 450.0, "what the client has waited is gone");
     let new = GOOD.replace("shard=5", "shard=-1").replace("480m", "480000u");
     let read = magpiewick_http1::request(new.as_bytes()).unwrap();
-    let c = command(&read, 0, &door(), 0.0, 9).unwrap().command;
+    let c = command(&read, bytes(&read), &door(), 0.0, 9).unwrap().command;
     assert_eq!((c.shard, c.time_limit), (None, 480.0));
     let long = GOOD.replace("480m", "1009m");
     let read = magpiewick_http1::request(long.as_bytes()).unwrap();
-    let c = command(&read, 0, &door(), 20.0, 9).unwrap().command;
+    let c = command(&read, bytes(&read), &door(), 20.0, 9).unwrap().command;
     assert_eq!(c.time_limit, 980.0, "no client waits longer than its band's time");
 }
 
