--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -492,7 +492,7 @@
         let now = self.now;
         let address = self.nodes.get(&node).and_then(|n| n.address);
         let key = loop {
-            let Some(key) = self.pool.take(node) else { break None };
+            let Some(key) = self.pool.take(now, node) else { break None };
             let Some(link) = self.link(key) else { continue };
             // Bytes or an end that came while it rested are no answer to anything.
             if matches!(link.stream.fill_to(1), Ok(false)) && link.stream.input().is_empty() {
--- a/crates/platform/src/nodes/tests.rs
+++ b/crates/platform/src/nodes/tests.rs
@@ -26,8 +26,9 @@
             let taken = |plain: &mut Vec<(u32, usize, Ms)>, at: Option<usize>| at.map(|at| plain.remove(at).1);
             match what % 6 {
                 0 => {
-                    let last = plain.iter().rposition(|r| r.0 == node);
-                    pool.take(node) == taken(&mut plain, last)
+                    let settled = plain.iter().rposition(|r| r.0 == node && now - r.2 >= 10.0);
+                    let first = plain.iter().position(|r| r.0 == node);
+                    pool.take(now, node) == taken(&mut plain, settled.or(first))
                 }
                 1 => {
                     let first = (!plain.is_empty()).then_some(0);
@@ -58,3 +59,15 @@
         })
     }
 }
+
+#[test]
+fn a_connection_that_was_just_answered_on_is_not_the_first_to_be_asked_again() {
+    let mut pool = Pool::new(None);
+    pool.rests(0.0, 1, 7);
+    pool.rests(100.0, 1, 8);
+    pool.rests(195.0, 1, 9);
+    assert_eq!(pool.take(200.0, 1), Some(8), "the last of those of which no second answer can come any more");
+    assert_eq!(pool.take(200.0, 1), Some(7));
+    assert_eq!(pool.take(200.0, 1), Some(9), "it is better than none");
+    assert_eq!(pool.take(200.0, 1), None);
+}
