Call a graceful shutdown by its name in the platform's door

Need: names are the field's standard terms. Change: Leaving -> Shutdown, leaving.rs -> shutdown.rs, the field and the docs with it; the whole concept, in this door (the other door has no type for it). No behaviour changes.

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -4,10 +4,10 @@
 use crate::clients::{self, Room, Standing};
 use crate::config::Told;
 use crate::discovery::{Line, Listing, Watch};
-use crate::leaving::Leaving;
 use crate::memory::{self, Holder};
 use crate::nodes::{Numbers, Pool, STALLS};
 use crate::outcome::{outcome, Sign};
+use crate::shutdown::Shutdown;
 use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
 use magpiewick_desk::{Part, Reason, World};
 use magpiewick_facts::Door;
@@ -219,7 +219,7 @@
     /// A call to the discovery before the one of now, which may still tell something.
     pub former: Option<(usize, Watch)>,
     pub wants_list: bool,
-    pub leaving: Leaving,
+    pub shutdown: Shutdown,
     pub counts: Counts,
     room: Room,
     /// How many bytes may wait in memory.
@@ -237,7 +237,7 @@
     pub fn new(poll: Poll, clock: Clock, epoch: f64, told: &Told) -> Floor {
         let (door, sockets, discovery) = (told.door.clone(), told.sockets, told.discovery);
         let longest = told.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
-        let leaving = Leaving::new(longest);
+        let shutdown = Shutdown::new(longest);
         Floor {
             poll,
             clock,
@@ -258,7 +258,7 @@
             call: None,
             former: None,
             wants_list: false,
-            leaving,
+            shutdown,
             counts: Counts::default(),
             room: Room::new(sockets, sockets - OWN_SOCKETS),
             most_held: memory::bound(told.memory_mb),
@@ -416,7 +416,7 @@
     /// Writes an answer to a client, who has none coming otherwise.
     pub fn reply(&mut self, key: usize, status: u16, fields: &[(&str, &[u8])], body: &[u8], close: bool) {
         let now = self.now;
-        let (leaves, over) = (self.leaving.closed(now), self.leaving.over_at().is_some_and(|at| now >= at));
+        let (leaves, over) = (self.shutdown.closed(now), self.shutdown.over_at().is_some_and(|at| now >= at));
         let Some(client) = self.client(key) else { return };
         // What was read behind this request by now is still owed an answer.
         let close = close || client.last || leaves && (over || !client.partial());
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,10 +7,10 @@
 mod config;
 mod discovery;
 mod floor;
-mod leaving;
 mod memory;
 mod nodes;
 mod outcome;
+mod shutdown;
 
 use config::Told;
 use floor::{Call, Floor, Open, Peer, Timed, FIRST_KEY};
@@ -152,7 +152,7 @@
                         // A second request to end changes nothing: whoever would not wait has SIGKILL, and an end at
                         // once would take answers away that are owed.
                         if signalled(&mut self.term) {
-                            self.floor.leaving.asked(self.floor.now);
+                            self.floor.shutdown.asked(self.floor.now);
                             tracing::info!(in_hand = self.desk.in_hand(), "asked to end");
                         }
                     }
@@ -188,9 +188,9 @@
 
     fn wakes_at(&self) -> Ms {
         let floor = &self.floor;
-        let closes = floor.leaving.closes_at().filter(|_| self.listener.is_some());
-        let over = floor.leaving.over_at().filter(|_| !floor.commands.is_empty());
-        let out = floor.leaving.out_at();
+        let closes = floor.shutdown.closes_at().filter(|_| self.listener.is_some());
+        let over = floor.shutdown.over_at().filter(|_| !floor.commands.is_empty());
+        let out = floor.shutdown.out_at();
         let times = [floor.timers.next_at(), floor.watch.late_at(), Some(self.tells_at), closes, over, out];
         let listens =
             self.listener.as_ref().filter(|_| self.accepts_from > floor.now).map(|_| self.accepts_from);
@@ -200,11 +200,11 @@
     /// Whether the host has closed and nothing is owed any more. Clients that were sent away are heard out as long as
     /// there is time: the end of the process would break their connections, and take with it what they have not read.
     fn ended(&self) -> bool {
-        let (floor, leaving) = (&self.floor, &self.floor.leaving);
-        if self.listener.is_some() || !leaving.closed(floor.now) || !floor.commands.is_empty() {
+        let (floor, shutdown) = (&self.floor, &self.floor.shutdown);
+        if self.listener.is_some() || !shutdown.closed(floor.now) || !floor.commands.is_empty() {
             return false;
         }
-        let out = leaving.out_at().is_some_and(|at| floor.now >= at);
+        let out = shutdown.out_at().is_some_and(|at| floor.now >= at);
         let clients = floor.peers.iter().filter_map(|(_, peer)| match peer {
             Peer::Client(client) => Some(client),
             _ => None,
@@ -316,10 +316,10 @@
                 _ = listener.watch(true, false);
             }
         }
-        if self.floor.leaving.closed(now) && self.listener.is_some() {
+        if self.floor.shutdown.closed(now) && self.listener.is_some() {
             self.close();
         }
-        if self.floor.leaving.over_at().is_some_and(|at| now >= at) && !self.floor.commands.is_empty() {
+        if self.floor.shutdown.over_at().is_some_and(|at| now >= at) && !self.floor.commands.is_empty() {
             self.finish();
         }
         if now >= self.tells_at {
@@ -459,7 +459,7 @@
     /// Takes the next request of a client, if it is whole and nothing is open.
     fn requests(&mut self, key: usize) {
         let (now, ready) = (self.floor.now, self.ready());
-        let leaves = self.floor.leaving.closed(now);
+        let leaves = self.floor.shutdown.closed(now);
         let Some(client) = self.floor.client(key) else { return };
         // One that does not read its answers would else have the host hold one for each request that it sent.
         if client.busy() || client.closing || !client.partial() {
@@ -530,7 +530,7 @@
         self.next_command += 1;
         let number = self.next_command;
         let mut taken = ask::command(request, body.len(), &self.floor.door, used, number)?;
-        if let Some(over) = self.floor.leaving.over_at() {
+        if let Some(over) = self.floor.shutdown.over_at() {
             taken.command.time_limit = taken.command.time_limit.min(over - self.floor.now);
         }
         if self.floor.ids.contains_key(id) {
@@ -560,7 +560,7 @@
     }
 
     fn ready(&self) -> bool {
-        self.floor.now >= self.ready_at && !self.floor.leaving.goes()
+        self.floor.now >= self.ready_at && !self.floor.shutdown.goes()
     }
 
     /// Calls discovery, if no call is out.
--- a/crates/platform/src/leaving.rs
+++ b/crates/platform/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The steps of an orderly end; free of I/O.
+//! The steps of a graceful shutdown; free of I/O.
 
 use magpiewick::Ms;
 
@@ -16,15 +16,15 @@
 /// what it takes can still be answered, and ends all at once. Guards against seconds in which a host that could
 /// serve does not; it could harm where clients would be better off with another host at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Leaving {
+pub struct Shutdown {
     since: Option<Ms>,
     lasts: Ms,
 }
 
-impl Leaving {
+impl Shutdown {
     /// `longest`: the longest time limit of any band.
-    pub fn new(longest: Ms) -> Leaving {
-        Leaving { since: None, lasts: longest.min(HEEDED) + BEHIND - MARGIN }
+    pub fn new(longest: Ms) -> Shutdown {
+        Shutdown { since: None, lasts: longest.min(HEEDED) + BEHIND - MARGIN }
     }
 
     /// Asked to end; whoever asks again is told nothing new.
