Rest while a client that is sent away does not read its last answer

Cause: found on a read of wakes_at: the time at which the process ends stayed the next time to wake once it was past, so that the loop ran without a rest until the client lost its place. Change: only a time to come counts.

--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -240,6 +240,25 @@
     assert!(rig.ends().success());
 }
 
+#[test]
+fn a_host_that_ends_rests_while_a_client_does_not_read_its_answer() {
+    let mut rig = Rig::new(1);
+    rig.nodes[0].always(Does::Fills(1_000_000));
+    rig.signal("TERM");
+    // Its answers come to stand before the host closes, and do so still when the host would end.
+    let all: Vec<u8> = (0..60).flat_map(|i| command(&format!("c{i}"), "read", 0, 3000)).collect();
+    std::thread::sleep(Duration::from_millis(2500));
+    let mut client = Client::that_takes(16 << 10, rig.host);
+    client.sends(&all);
+    std::thread::sleep(Duration::from_millis(1250));
+    let before = rig.ticks();
+    std::thread::sleep(Duration::from_millis(500));
+    if let (Some(before), Some(after)) = (before, rig.ticks()) {
+        assert!(after - before < 10, "it spins: {} hundredths of half a second", after - before);
+    }
+    assert!(rig.ends().success());
+}
+
 #[test]
 fn connections_that_the_kernel_took_before_the_host_closed_are_answered() {
     let mut rig = Rig::new(1);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -190,7 +190,8 @@
         let floor = &self.floor;
         let closes = floor.shutdown.closes_at().filter(|_| self.listener.is_some());
         let over = floor.shutdown.over_at().filter(|_| !floor.commands.is_empty());
-        let out = floor.shutdown.out_at();
+        // Past it a client that does not read its answer is waited for, as by its own timer.
+        let out = floor.shutdown.out_at().filter(|at| *at > floor.now);
         let times = [floor.timers.next_at(), floor.watch.late_at(), Some(self.tells_at), closes, over, out];
         let listens =
             self.listener.as_ref().filter(|_| self.accepts_from > floor.now).map(|_| self.accepts_from);
