Have one piece take in what either discovery tells

Two readers of discovery's answers told the desk in the same three lines, and two places asked whether a call is the former one: take_in and is_former now. A call that is kept on SIGHUP is kept whether or not it is out, where one that was not would have left its place taken (no way to there is known).

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -152,8 +152,8 @@
     pace: Pace,
     /// The generation that changes are asked after; none asks for the whole list.
     after: Option<u64>,
-    /// The last call was answered, so that the next one may wait for news. One that waits tells for seconds nothing
-    /// of whether it was heard: after a failure the first is answered at once.
+    /// The last call was answered, so that the next one may wait long for news. One that waits tells for seconds
+    /// nothing of whether it was heard: after a failure the first waits less.
     answers: bool,
     /// A call is out until this time.
     out: Option<Ms>,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 mod shutdown;
 
 use config::Told;
+use discovery::Listing;
 use floor::{Call, Floor, Open, Peer, Timed, FIRST_KEY};
 use magpiewick::{Ms, News};
 use magpiewick_desk::{Desk, Stood};
@@ -206,11 +207,10 @@
             return false;
         }
         let out = shutdown.out_at().is_some_and(|at| floor.now >= at);
-        let clients = floor.peers.iter().filter_map(|(_, peer)| match peer {
-            Peer::Client(client) => Some(client),
-            _ => None,
-        });
-        clients.into_iter().all(|client| out && !client.busy())
+        floor.peers.iter().all(|(_, peer)| match peer {
+            Peer::Client(client) => out && !client.busy(),
+            _ => true,
+        })
     }
 
     /// Stops to accept, and sends away all clients that are owed nothing.
@@ -599,6 +599,17 @@
         }
     }
 
+    fn is_former(&self, key: usize) -> bool {
+        self.floor.former.as_ref().is_some_and(|(former, _)| *former == key)
+    }
+
+    /// Tells the desk what a discovery told.
+    fn take_in(&mut self, listing: &Listing, news: News) {
+        self.floor.counts.lists += 1;
+        let entries = self.floor.listed(listing);
+        self.desk.listed(self.floor.now, news, &entries);
+    }
+
     /// An answer of the discovery that was called before the host was told of another.
     fn read_former(&mut self, key: usize) {
         let Some((_, mut watch)) = self.floor.former.take() else { return };
@@ -612,9 +623,7 @@
         let Some((listing, news)) = listing.and_then(|l| watch.answered(&l).map(|news| (l, news))) else {
             return;
         };
-        self.floor.counts.lists += 1;
-        let entries = self.floor.listed(&listing);
-        self.desk.listed(self.floor.now, news, &entries);
+        self.take_in(&listing, news);
     }
 
     fn end_call(&mut self) {
@@ -624,7 +633,7 @@
     }
 
     fn call_broke(&mut self, key: usize, why: &str) {
-        match self.floor.former.as_ref().is_some_and(|(former, _)| *former == key) {
+        match self.is_former(key) {
             true => self.end_former(),
             false => self.call_failed(why),
         }
@@ -645,7 +654,7 @@
     }
 
     fn read_call(&mut self, key: usize) {
-        if self.floor.former.as_ref().is_some_and(|(former, _)| *former == key) {
+        if self.is_former(key) {
             return self.read_former(key);
         }
         let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
@@ -671,9 +680,7 @@
         }
         tracing::debug!(listing.generation, lines = listing.lines.len(), "discovery tells");
         self.end_former();
-        self.floor.counts.lists += 1;
-        let entries = self.floor.listed(&listing);
-        self.desk.listed(self.floor.now, news, &entries);
+        self.take_in(&listing, news);
         self.ready_at = self.ready_at.min(self.floor.now);
         // A watch goes on as long as the next call comes soon after the last answer.
         self.call();
@@ -696,9 +703,7 @@
         // What the old one has written by now, or writes until the new one is heard, is news as any other.
         self.end_former();
         self.floor.discovery = told.discovery;
-        if let Some(key) = self.floor.call.take().filter(|_| self.floor.watch.is_out()) {
-            self.floor.former = Some((key, self.floor.watch.clone()));
-        }
+        self.floor.former = self.floor.call.take().map(|key| (key, self.floor.watch.clone()));
         self.floor.watch.forget();
         self.call();
     }
