Log and count what the discovery client does, and why requests end as they do

Change: discovery_log, request_log and a token bucket (24 lines at once and 2 a second for discovery, 8 and 0.5 for each kind of request event); typed reasons of a failed call; three counter lines each 5 s with the next call's time. Routine calls stay at debug level.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -146,6 +146,11 @@
         self.by_id.len()
     }
 
+    /// When the module asks for the list next; none where lists are pushed.
+    pub fn asks_at(&self) -> Option<Ms> {
+        self.brain.asks_at()
+    }
+
     /// News of the list; `entries` name nodes by the wire's ids, which are mapped here.
     pub fn listed(&mut self, now: Ms, news: News, entries: &[(u32, Entry)]) {
         let mut mapped = Vec::with_capacity(entries.len());
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -179,6 +179,11 @@
         self.out.is_some()
     }
 
+    /// The generation of the list that is known; none before any, or after a gap.
+    pub fn generation(&self) -> Option<u64> {
+        self.after
+    }
+
     pub fn late_at(&self) -> Option<Ms> {
         self.out
     }
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -4,9 +4,11 @@
 use crate::clients::{self, Room, Standing};
 use crate::config::Told;
 use crate::discovery::{Line, Listing, Watch};
+use crate::discovery_log::DiscoveryLog;
 use crate::memory::{self, Holder};
 use crate::nodes::{Numbers, Pool, STALLS};
 use crate::outcome::{outcome, Sign};
+use crate::request_log::{Closed, Named, RequestLog};
 use crate::shutdown::Shutdown;
 use magpiewick::{Answer, Condition, Ending, Entry, Ms, Outcome};
 use magpiewick_desk::{Part, Reason, World};
@@ -164,6 +166,10 @@
     pub body: Vec<u8>,
     /// The hand-off that is out, on which connection, and since when.
     pub out: Option<(u32, usize, Ms)>,
+    pub taken_at: Ms,
+    /// Attempts begun, and the node and outcome of the last one.
+    pub attempts: u32,
+    pub last: Option<(u32, Option<Outcome>)>,
 }
 
 /// A node as the list names it.
@@ -221,6 +227,8 @@
     pub wants_list: bool,
     pub shutdown: Shutdown,
     pub counts: Counts,
+    pub discovery_log: DiscoveryLog,
+    pub request_log: RequestLog,
     room: Room,
     /// How many bytes may wait in memory.
     most_held: usize,
@@ -260,6 +268,8 @@
             wants_list: false,
             shutdown,
             counts: Counts::default(),
+            discovery_log: DiscoveryLog::default(),
+            request_log: RequestLog::default(),
             room: Room::new(sockets, sockets - OWN_SOCKETS),
             most_held: memory::bound(told.memory_mb),
             clients: 0,
@@ -397,6 +407,7 @@
             // What it has just asked would be lost with it; and the end of a connection with bytes unread is a break.
             if !self.client(key).is_some_and(|c| c.stream.unread()) {
                 self.counts.evicted += 1;
+                self.log_closed(key, Closed::Evicted);
                 self.drop_client(key);
                 return true;
             }
@@ -405,6 +416,20 @@
         false
     }
 
+    pub fn log_closed(&mut self, key: usize, why: Closed) {
+        let now = self.now;
+        if let Some((serial, asked)) = self.client(key).map(|c| (c.serial, c.asked)) {
+            self.request_log.closed(now, serial, asked, why);
+        }
+    }
+
+    pub fn log_client_gone(&mut self, command: u64) {
+        if let Some(open) = self.commands.get(&command) {
+            let named = named(&self.nodes, open, self.now);
+            self.request_log.client_gone(self.now, &named);
+        }
+    }
+
     /// Ends a client's connection; the command that was open on it.
     pub fn drop_client(&mut self, key: usize) -> Option<u64> {
         self.client(key)?;
@@ -428,6 +453,8 @@
     /// Refuses what a client sent: nothing of it goes further.
     pub fn refuse(&mut self, key: usize, refused: Refused, close: bool) {
         *self.counts.refused.entry(refused.why).or_default() += 1;
+        let serial = self.client(key).map_or(0, |c| c.serial);
+        self.request_log.refused(self.now, serial, refused.status, refused.why);
         let body = format!("{}\n", refused.why);
         self.reply(key, refused.status, &[("Content-Type", b"text/plain")], body.as_bytes(), close);
     }
@@ -475,6 +502,9 @@
         let now = self.now;
         let Some(open) = self.commands.get_mut(&command) else { return };
         let Some((_, _, since)) = open.out.take() else { return };
+        if let Some((_, last)) = &mut open.last {
+            *last = Some(outcome);
+        }
         let number =
             |name| answer.and_then(|a| a.field(name)).and_then(|text| text.trim().parse::<f64>().ok());
         let read = |name| number(name).filter(|n| n.is_finite() && *n >= 0.0);
@@ -501,7 +531,9 @@
             self.drop_link(key);
         };
         let key = key.or_else(|| self.dial(node, address?));
+        self.log_retry(node, part.command);
         let Some(open) = self.commands.get_mut(&part.command) else { return };
+        (open.attempts, open.last) = (open.attempts + 1, Some((node, None)));
         open.out = Some((part.hand_off, key.unwrap_or(usize::MAX), now));
         let Some((key, link)) = key.and_then(|key| Some((key, self.link(key)?))) else {
             return self.owe(part.command, Outcome::NoConnection, None, None);
@@ -511,6 +543,14 @@
         self.flush_link(key);
     }
 
+    fn log_retry(&mut self, node: u32, command: u64) {
+        let Some(open) = self.commands.get(&command) else { return };
+        let Some((_, Some(after))) = open.last else { return };
+        let named = named(&self.nodes, open, self.now);
+        let to = self.nodes.get(&node).map_or("", |n| n.id.as_str());
+        self.request_log.retried(self.now, &named, to, after);
+    }
+
     /// Writes a hand-off to a connection that stands by now: what its node is told is what is left to the client
     /// then. False where it is too late for that.
     fn begin(&mut self, key: usize) -> bool {
@@ -712,6 +752,17 @@
     }
 }
 
+/// An open request as the log names it.
+fn named<'a>(nodes: &'a BTreeMap<u32, Node>, open: &'a Open, now: Ms) -> Named<'a> {
+    let node = open.last.and_then(|(node, _)| nodes.get(&node));
+    Named {
+        id: &open.id,
+        attempts: open.attempts,
+        age: now - open.taken_at,
+        node: node.map(|n| n.id.as_str()),
+    }
+}
+
 impl World for Floor {
     fn send(&mut self, node: u32, parts: &[Part]) {
         parts.iter().for_each(|part| self.hand_off(node, part));
@@ -724,12 +775,15 @@
     fn answer(&mut self, command: u64, ending: Ending, reason: Reason) {
         let Some(open) = self.commands.get_mut(&command) else { return };
         let client = open.client.take();
+        let status = if matches!(ending, Ending::Scrapped) { 502 } else { 503 };
+        let named = named(&self.nodes, open, self.now);
+        self.request_log.answered(self.now, &named, status, reason);
         self.release(command);
         let Some(key) = client else { return };
         let word = reason.word();
-        let (status, back, count) = match ending {
-            Ending::Bounced { back } => (503, back, &mut self.counts.bounced),
-            Ending::Scrapped => (502, 0.0, &mut self.counts.scrapped),
+        let (back, count) = match ending {
+            Ending::Bounced { back } => (back, &mut self.counts.bounced),
+            Ending::Scrapped => (0.0, &mut self.counts.scrapped),
         };
         *count += 1;
         let back = format!("{:.3}", back / 1000.0);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,20 +6,25 @@
 mod clients;
 mod config;
 mod discovery;
+mod discovery_log;
 mod floor;
+mod log_limit;
 mod memory;
 mod nodes;
 mod outcome;
+mod request_log;
 mod shutdown;
 
 use config::Told;
 use discovery::Listing;
+use discovery_log::{CallFailure, Reload};
 use floor::{Call, Floor, Open, Peer, Timed, FIRST_KEY};
 use magpiewick::{Ms, News};
 use magpiewick_desk::{Desk, Stood};
 use magpiewick_http1::{self as http1, Answers, Refused};
 use magpiewick_link::{Clock, Poll, Registered, Stream, Woken};
 use outcome::Sign;
+use request_log::Closed;
 use serde_json::Value;
 use std::io::{self, ErrorKind, Read};
 use std::net::TcpListener;
@@ -179,9 +184,12 @@
         for key in self.floor.too_large() {
             self.floor.counts.crowded += 1;
             match self.floor.peers.get(key) {
-                Some(Peer::Client(_)) => self.client_gone(key),
+                Some(Peer::Client(_)) => {
+                    self.floor.log_closed(key, Closed::OverMemory);
+                    self.client_gone(key);
+                }
                 Some(Peer::Link(_)) => self.floor.end_link(key, Sign::Spoilt),
-                Some(Peer::Call(_)) => self.call_broke(key, "its answer is too large for the memory"),
+                Some(Peer::Call(_)) => self.call_broke(key, CallFailure::TooLarge),
                 None => {}
             }
         }
@@ -307,7 +315,7 @@
             }
         }
         if self.floor.watch.late_at().is_some_and(|at| now >= at) {
-            self.call_failed("no answer in time");
+            self.call_failed(CallFailure::NoAnswerInTime);
         }
         for key in self.floor.pool.retired(now) {
             self.floor.drop_link(key);
@@ -325,14 +333,26 @@
         }
         if now >= self.tells_at {
             self.tells_at = now + TELL_EVERY;
-            let floor = &self.floor;
-            tracing::info!(
-                in_hand = floor.commands.len(), clients = floor.clients, peers = floor.peers.len(),
-                nodes = floor.nodes.len(), counts = ?floor.counts, "counters"
-            );
+            self.tell_counters();
         }
     }
 
+    fn tell_counters(&self) {
+        let (floor, watch) = (&self.floor, &self.floor.watch);
+        tracing::info!(
+            in_hand = floor.commands.len(), clients = floor.clients, peers = floor.peers.len(),
+            nodes = floor.nodes.len(), counts = ?floor.counts, "counters"
+        );
+        tracing::info!(
+            address = %floor.discovery, generation = watch.generation(),
+            call_late_in_ms = watch.late_at().map(|at| (at - floor.now).round()),
+            next_call_in_ms = self.desk.asks_at().map(|at| (at - floor.now).round()),
+            former = floor.former.is_some(),
+            counts = ?floor.discovery_log.counts, "discovery counters"
+        );
+        tracing::info!(counts = ?floor.request_log.counts, "request counters");
+    }
+
     /// A client's time is over: one that sent nothing whole is told so, or let go.
     fn client_late(&mut self, key: usize, serial: u64) {
         let now = self.floor.now;
@@ -345,6 +365,7 @@
             self.floor.client_waits(key, now);
         } else if client.closing || client.stream.pending() > 0 {
             // A client that does not read its answer would keep it, and its place, for ever.
+            self.floor.log_closed(key, Closed::Unread);
             self.floor.drop_client(key);
         } else if client.open.is_some() {
             // It is owed something and is not looked at until that is done.
@@ -354,6 +375,7 @@
         } else if client.partial() {
             self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
         } else if client.asked == 0 {
+            self.floor.log_closed(key, Closed::Idle);
             self.floor.drop_client(key);
         }
     }
@@ -362,10 +384,16 @@
         match self.floor.peers.get_mut(key) {
             Some(Peer::Client(_)) => self.flush_client(key),
             Some(Peer::Link(_)) => self.floor.flush_link(key),
-            Some(Peer::Call(call)) => match call.stream.flush() {
-                Ok(()) => {}
-                Err(_) => self.call_broke(key, "the connection broke"),
-            },
+            Some(Peer::Call(call)) => {
+                let connecting = call.stream.connecting();
+                match call.stream.flush() {
+                    Ok(()) if connecting && !call.stream.connecting() => {
+                        self.floor.discovery_log.connected(self.floor.now, self.floor.discovery);
+                    }
+                    Ok(()) => {}
+                    Err(_) => self.call_broke(key, CallFailure::Broke),
+                }
+            }
             None => {}
         }
     }
@@ -382,6 +410,7 @@
     fn client_gone(&mut self, key: usize) {
         if let Some(command) = self.floor.drop_client(key) {
             self.floor.counts.gone += 1;
+            self.floor.log_client_gone(command);
             if let Some(open) = self.floor.commands.get_mut(&command) {
                 open.client = None;
             }
@@ -549,7 +578,16 @@
         fields.extend(fingerprint.map(|value| ("Idempotency-Key", value)));
         fields.extend((request.method != "GET").then_some(("Content-Length", length.as_bytes())));
         http1::write_request_head(&mut head, request.method, request.target, &fields);
-        let open = Open { client: Some(key), id: id.to_string(), head, body: body.to_vec(), out: None };
+        let open = Open {
+            client: Some(key),
+            id: id.to_string(),
+            head,
+            body: body.to_vec(),
+            out: None,
+            taken_at: self.floor.now,
+            attempts: 0,
+            last: None,
+        };
         self.floor.ids.insert(id.to_string(), number);
         self.floor.commands.insert(number, open);
         self.floor.counts.taken += 1;
@@ -571,8 +609,8 @@
             return;
         }
         let target = self.floor.watch.call(now);
-        tracing::debug!(target, "asks discovery");
         let address = self.floor.discovery;
+        self.floor.discovery_log.called(now, address, &target);
         let key = match self.floor.call {
             Some(key) => Ok(key),
             None => self.floor.enter(|poll, key| {
@@ -583,13 +621,16 @@
             }),
         };
         let host = address.to_string();
-        let Ok(key) = key else { return self.call_failed("no connection") };
+        let key = match key {
+            Ok(key) => key,
+            Err(e) => return self.call_failed(CallFailure::Connect(e.to_string())),
+        };
         self.floor.call = Some(key);
         let Some(Peer::Call(call)) = self.floor.peers.get_mut(key) else { return };
         http1::write_request_head(call.stream.output(), "GET", &target, &[("Host", host.as_bytes())]);
         call.stream.output().extend_from_slice(b"\r\n");
         if call.stream.flush().is_err() {
-            self.call_failed("the connection broke");
+            self.call_failed(CallFailure::Broke);
         }
     }
 
@@ -620,9 +661,11 @@
             _ => None,
         };
         self.floor.peers.try_remove(key);
+        let now = self.floor.now;
         let Some((listing, news)) = listing.and_then(|l| watch.answered(&l).map(|news| (l, news))) else {
-            return;
+            return self.floor.discovery_log.former_ended(now, "its answer is no list that follows");
         };
+        self.floor.discovery_log.former_answered(now, listing.generation, listing.lines.len());
         self.take_in(&listing, news);
     }
 
@@ -632,25 +675,24 @@
         }
     }
 
-    fn call_broke(&mut self, key: usize, why: &str) {
-        match self.is_former(key) {
-            true => self.end_former(),
-            false => self.call_failed(why),
+    fn call_broke(&mut self, key: usize, why: CallFailure) {
+        if !self.is_former(key) {
+            return self.call_failed(why);
         }
+        self.floor.discovery_log.former_ended(self.floor.now, &why.to_string());
+        self.end_former();
     }
 
-    fn call_failed(&mut self, why: &str) {
+    fn call_failed(&mut self, why: CallFailure) {
         self.end_call();
         if !self.floor.watch.is_out() {
             return;
         }
         self.floor.watch.failed();
         self.floor.counts.lists_failed += 1;
-        tracing::debug!(why, "discovery failed");
-        if self.floor.counts.lists_failed.is_power_of_two() {
-            tracing::warn!(times = self.floor.counts.lists_failed, why, "discovery failed");
-        }
-        self.desk.listed(self.floor.now, News::Failed, &[]);
+        let now = self.floor.now;
+        self.desk.listed(now, News::Failed, &[]);
+        self.floor.discovery_log.failed(now, &why, self.desk.asks_at().map(|at| at - now));
     }
 
     fn read_call(&mut self, key: usize) {
@@ -661,24 +703,23 @@
         let (answer, last) = match floor::next_answer(&mut call.stream, &mut call.answers) {
             Ok(Some(next)) => next,
             Ok(None) => return,
-            Err(Sign::Spoilt) => return self.call_failed("the answer is spoilt"),
-            Err(_) => return self.call_failed("the connection ended"),
+            Err(Sign::Spoilt) => return self.call_failed(CallFailure::Spoilt),
+            Err(_) => return self.call_failed(CallFailure::Broke),
         };
         if !self.floor.watch.is_out() || answer.status != 200 {
-            tracing::debug!(answer.status, "discovery refuses");
-            return self.call_failed("an answer that is none");
+            return self.call_failed(CallFailure::Status(answer.status));
         }
         let listing = match discovery::parsed(&answer.body) {
             Ok(listing) => listing,
-            Err(why) => return self.call_failed(&why),
+            Err(why) => return self.call_failed(CallFailure::Malformed(why)),
         };
         let Some(news) = self.floor.watch.answered(&listing) else {
-            return self.call_failed("changes to a list that is not known");
+            return self.call_failed(CallFailure::Gap);
         };
         if last {
             self.end_call();
         }
-        tracing::debug!(listing.generation, lines = listing.lines.len(), "discovery tells");
+        self.floor.discovery_log.answered(self.floor.now, listing.generation, listing.lines.len());
         self.end_former();
         self.take_in(&listing, news);
         self.ready_at = self.ready_at.min(self.floor.now);
@@ -690,16 +731,27 @@
     fn read_anew(&mut self) {
         let told = match config::read(&self.path) {
             Ok(told) => told,
-            Err(why) => return tracing::error!(why, "the new configuration is not taken"),
+            Err(why) => {
+                self.floor.discovery_log.reloaded(Reload::Refused);
+                let kept = self.floor.discovery;
+                return tracing::error!(why, discovery = %kept, "the new configuration is refused");
+            }
         };
         let late = config::differing(&self.fixed, &told.fixed);
         if !late.is_empty() {
             tracing::warn!(settings = late.join(", "), "these have changed and wait for a restart");
         }
         if told.discovery == self.floor.discovery {
-            return tracing::info!("the new configuration has nothing that is taken at once");
-        }
-        tracing::info!(discovery = %told.discovery, "discovery is at another address");
+            self.floor.discovery_log.reloaded(Reload::Unchanged);
+            let discovery = told.discovery;
+            return tracing::info!(%discovery, "the new configuration has nothing that is taken at once");
+        }
+        self.floor.discovery_log.reloaded(Reload::Taken);
+        tracing::info!(
+            before = %self.floor.discovery, after = %told.discovery,
+            generation = self.floor.watch.generation(), call_out = self.floor.call.is_some(),
+            "discovery is at another address"
+        );
         // What the old one has written by now, or writes until the new one is heard, is news as any other.
         self.end_former();
         self.floor.discovery = told.discovery;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -467,6 +467,11 @@
         self.waiting.late.set(shard, first.map(|h| h.late_at - self.latency(h)));
     }
 
+    /// When the list is asked for next; none where lists are pushed.
+    pub fn asks_at(&self) -> Option<Ms> {
+        self.ask_at
+    }
+
     /// The list of nodes, or what changed in it.
     pub fn listed(&mut self, now: Ms, news: News, entries: &[Entry]) {
         if news == News::Failed {
