--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -2,7 +2,9 @@
 //! bad nodes, a bad discovery, signals, and descriptors that run out.
 
 mod endings;
+mod proxy;
 mod rig;
+mod stale_list;
 
 use rig::{command, instance, made_for, Client, Discovery, Does, Limits, Mood, Rig, FAILED, FULL, SERVED};
 use serde_json::json;
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -487,9 +487,14 @@
 
     /// Names another discovery in the file and tells the host so.
     pub fn turns_to(&mut self, discovery: SocketAddr) {
+        self.names(discovery);
+        self.signal("HUP");
+    }
+
+    /// Names another discovery in the file, without a word to the host.
+    pub fn names(&mut self, discovery: SocketAddr) {
         self.config["discovery"] = json!(discovery.to_string());
         std::fs::write(&self.file, self.config.to_string()).unwrap();
-        self.signal("HUP");
     }
 
     pub fn spoils_file(&self) {
