--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -269,8 +269,9 @@
     }
 
     fn reload_refused(&mut self, now: Ms, why: &str) {
-        self.reload.refused(now);
-        self.floor.list_client.reload_refused(now);
+        if self.reload.refused(now) {
+            self.floor.list_client.reload_refused(now);
+        }
         let retry_in = self.reload.retry_at().map(|at| at - now);
         self.floor.discovery_log.reload_refused(now, why, self.floor.discovery, retry_in);
     }
--- a/crates/platform/src/reload.rs
+++ b/crates/platform/src/reload.rs
@@ -9,23 +9,29 @@
 /// Whether a new configuration is pending that was announced and could not be read.
 pub struct Reload {
     retry_at: Option<Ms>,
+    /// What was announced last was not met yet.
+    new: bool,
     backoff: Backoff,
     chance: Chance,
 }
 
 impl Reload {
     pub fn new(seed: u64) -> Reload {
-        Reload { retry_at: None, backoff: Backoff::new(FIRST_WAIT, LONGEST_WAIT), chance: Chance::new(seed) }
+        let backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        Reload { retry_at: None, new: false, backoff, chance: Chance::new(seed) }
     }
 
     /// The operator announced a new configuration.
     pub fn announced(&mut self) {
+        self.new = true;
         self.backoff.reset();
     }
 
-    /// The file could not be used. It is read again until it can be, without another announcement.
-    pub fn refused(&mut self, now: Ms) {
+    /// The file could not be used. It is read again until it can be, without another announcement. Whether it is the
+    /// first time since the last one.
+    pub fn refused(&mut self, now: Ms) -> bool {
         self.retry_at = Some(now + self.backoff.failed(&mut self.chance));
+        std::mem::take(&mut self.new)
     }
 
     /// The file was read.
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -62,8 +62,8 @@
     rules: FreshnessRules,
     /// The list was complete at this time.
     confirmed_at: Ms,
-    /// The first reload since then.
-    reloaded_at: Option<Ms>,
+    /// When the configuration was replaced since then; the first is the one that binds.
+    reloads: Vec<Ms>,
     last_failure: Option<Failure>,
     seen_up: bool,
 }
@@ -71,7 +71,7 @@
 impl Freshness {
     /// `confirmed_at`: as of when what the host starts with counts as complete.
     pub fn new(rules: FreshnessRules, confirmed_at: Ms) -> Freshness {
-        Freshness { rules, confirmed_at, reloaded_at: None, last_failure: None, seen_up: false }
+        Freshness { rules, confirmed_at, reloads: Vec::new(), last_failure: None, seen_up: false }
     }
 
     /// An answer of a former address was taken in, complete as of that time. The service may have gone on elsewhere:
@@ -86,13 +86,13 @@
             return;
         }
         self.confirmed_at = as_of;
-        self.reloaded_at = self.reloaded_at.filter(|at| *at > as_of);
+        self.reloads.retain(|at| *at > as_of);
         (self.last_failure, self.seen_up) = (None, false);
     }
 
     /// The configuration was replaced: from then on the service may be another, or at another address.
     pub fn reloaded(&mut self, now: Ms) {
-        self.reloaded_at.get_or_insert(now);
+        self.reloads.push(now);
         self.last_failure = None;
     }
 
@@ -108,7 +108,7 @@
     /// From when on a change may bind the host that it has not heard of.
     pub fn expires_at(&self) -> Ms {
         let by_age = self.confirmed_at + self.rules.binds_after;
-        let by_reload = self.reloaded_at.map_or(f64::INFINITY, |at| at + self.rules.binds_after_reload);
+        let by_reload = self.reloads.first().map_or(f64::INFINITY, |at| at + self.rules.binds_after_reload);
         by_age.min(by_reload) - self.rules.stall
     }
 
@@ -133,7 +133,7 @@
             Some(Failure::Unreachable) => true,
             // Right after a reload it may as well be a service that others crowd, and the operator says it is there.
             Some(Failure::Broken | Failure::TurnedAway) => {
-                self.reloaded_at.is_none() || self.rules.silent_when_down
+                self.reloads.is_empty() || self.rules.silent_when_down
             }
             Some(Failure::Silent) => self.rules.silent_when_down,
             Some(Failure::Local | Failure::Busy | Failure::Unusable) | None => false,
--- a/src/list_client.rs
+++ b/src/list_client.rs
@@ -334,9 +334,10 @@
             return Verdict::Gap;
         }
         if let Some(known) = self.known {
-            // A service that started anew counts from the beginning: only what was asked for since then can tell.
+            // A service that started anew, or another one, counts from the beginning: only what was asked for since
+            // the last list can tell. Of two addresses of one service the slower may answer with an older list.
             let older = answer.generation < known.generation && call.began < known.taken_at;
-            if call.address < known.address || call.address == known.address && older {
+            if call.address < known.address || older {
                 return Verdict::Outdated;
             }
         }
