Take a node's start for the latest that a stepped wall clock allows

The wall clock was read once at the start, so a node that starts after the clock was set back an hour seemed to have started an hour ago, and its slow start was passed over. Change: wall_clock.rs reads the clock with each listing and takes the latest start that any reading allows.

--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -4,7 +4,7 @@
 use crate::discovery_log::{CallFailure, Reload as ReloadOutcome};
 use crate::floor::{self, Call, Peer};
 use crate::outcome::Sign;
-use crate::{config, Platform};
+use crate::{config, unix_time, Platform};
 use magpiewick::{Answered, Failure, Ms, News, Step, Target, Validity, Verdict};
 use magpiewick_http1::{self as http1, Answers};
 use magpiewick_link::{out_of_descriptors, reach, Ended, Reach, Stream};
@@ -227,7 +227,7 @@
     /// Tells the desk what a discovery told.
     fn take_in(&mut self, listing: &Listing, news: News) {
         self.floor.counts.lists += 1;
-        let entries = self.floor.listed(listing);
+        let entries = self.floor.listed(listing, unix_time());
         self.desk.listed(self.floor.now, news, &entries);
     }
 
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -10,6 +10,7 @@
 use crate::outcome::{outcome, Sign};
 use crate::request_log::{Closed, Named, RequestLog};
 use crate::shutdown::Shutdown;
+use crate::wall_clock::WallClock;
 use magpiewick::{Answer, Condition, Ending, Entry, ListClient, Ms, Outcome};
 use magpiewick_desk::{Part, Reason, World};
 use magpiewick_facts::Door;
@@ -238,14 +239,13 @@
     pub clients: usize,
     links: usize,
     serial: u64,
-    /// Unix time, in milliseconds, at which the loop's clock was 0.
-    epoch: f64,
+    wall_clock: WallClock,
     /// Clients with input left behind the request that was just answered.
     pub again: Vec<usize>,
 }
 
 impl Floor {
-    pub fn new(poll: Poll, clock: Clock, epoch: f64, told: &Told) -> Floor {
+    pub fn new(poll: Poll, clock: Clock, wall_clock: WallClock, told: &Told) -> Floor {
         let (door, sockets, discovery) = (told.door.clone(), told.sockets, told.discovery);
         let longest = told.start.bands.iter().map(|b| b.time_limit).fold(0.0, f64::max);
         let shutdown = Shutdown::new(longest);
@@ -277,7 +277,7 @@
             clients: 0,
             links: 0,
             serial: 0,
-            epoch,
+            wall_clock,
             again: Vec::new(),
         }
     }
@@ -690,8 +690,9 @@
         }
     }
 
-    /// Takes a listing's lines in: the module's entries of them.
-    pub fn listed(&mut self, listing: &Listing) -> Vec<(u32, Entry)> {
+    /// Takes a listing's lines in, read at this Unix time: the module's entries of them.
+    pub fn listed(&mut self, listing: &Listing, unix: f64) -> Vec<(u32, Entry)> {
+        self.wall_clock.read(unix, self.clock.now());
         if listing.whole {
             let named: Vec<&str> = listing.lines.iter().map(|l| l.id.as_str()).collect();
             let gone = self.nodes.iter().filter(|(_, n)| !named.contains(&n.id.as_str()));
@@ -711,9 +712,7 @@
         let before = self.nodes.get(&number);
         let started = match before.filter(|node| node.told == line.started) {
             Some(node) => node.started,
-            // Nothing starts after now: where it seems so, the clock was wrong when this host started, and the node
-            // would stay cold for as long as the clock is behind.
-            None => line.started.map(|at| (at as f64 - self.epoch).min(self.now)),
+            None => line.started.map(|at| self.wall_clock.latest(at as f64, self.now)),
         };
         let entry = Entry { node: 0, zone, shard: line.shard, condition: line.condition, started };
         if line.condition == Condition::Gone {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 mod reload;
 mod request_log;
 mod shutdown;
+mod wall_clock;
 
 use config::Told;
 use discovery_log::CallFailure;
@@ -33,6 +34,7 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
+use wall_clock::WallClock;
 
 const LISTENER: usize = 0;
 const TERM: usize = 1;
@@ -100,15 +102,14 @@
     fn new(told: Told, path: &Path) -> io::Result<Platform> {
         let (poll, clock) = (Poll::new()?, Clock::start());
         let now = clock.now();
-        // Wall time becomes the loop's once: a step of the wall clock must not make a node seem restarted.
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |t| t.as_secs_f64());
+        let wall_clock = WallClock::new(unix_time(), now);
         let term = signal(&poll, signal_hook::consts::SIGTERM, TERM)?;
         let hang_up = signal(&poll, signal_hook::consts::SIGHUP, HANG_UP)?;
         let listener = poll.register(magpiewick_link::listen(told.listen)?, LISTENER)?;
         let (round, pushed) = (told.start.round, told.pushed());
         tracing::info!(name = told.name, listen = %told.listen, discovery = %told.discovery, "serves");
         let seed = told.start.seed;
-        let floor = Floor::new(poll, clock, unix * 1000.0 - now, &told);
+        let floor = Floor::new(poll, clock, wall_clock, &told);
         let mut platform = Platform {
             desk: Desk::new(told.start, now),
             floor,
@@ -126,7 +127,7 @@
             tells_at: now + TELL_EVERY,
         };
         if let Some(known) = told.known {
-            let entries = platform.floor.listed(&known);
+            let entries = platform.floor.listed(&known, unix_time());
             platform.desk.listed(now, News::Remembered, &entries);
             // Clients wait for a host that has come back, a quarter of a second for discovery's answer alone, and the
             // module knows that what is remembered may be old. Where lists are pushed, what the agent has counts as
@@ -609,6 +610,11 @@
     }
 }
 
+/// The wall clock's Unix time in milliseconds.
+fn unix_time() -> f64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |time| time.as_secs_f64() * 1000.0)
+}
+
 /// Takes what a signal left; whether one came.
 fn signalled(from: &mut Registered<UnixStream>) -> bool {
     let mut marks = [0; 64];
