--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -643,3 +643,23 @@
     assert_eq!(cancelled, pieces.map(|p| p.0));
     rig.end_at_once();
 }
+
+#[test]
+fn a_list_service_that_answers_nothing_is_connected_to_anew() {
+    let list = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut sheet: HostSheet = read_text("test", SETTINGS, |r| host(r, 1)).unwrap().unwrap();
+    (sheet.list.address, sheet.list.asked) = (list.local_addr().unwrap(), true);
+    sheet.start.ask_within = Some(1000.0);
+    let (mut stop, other) = UnixStream::pair().unwrap();
+    let gateway = Gateway::bind(sheet, other, 99).unwrap();
+    let host = std::thread::spawn(move || gateway.run().unwrap());
+    let watch = |m: &Message| matches!(m, Message::Watch { .. }).then_some(());
+    // It is asked, and its connection stands silent: the next question comes over another one.
+    let mut silent = End::new(list.accept().unwrap().0);
+    silent.hear(watch).expect("a question");
+    assert!(silent.hear(watch).is_none(), "the silent connection is asked on");
+    let mut next = End::new(list.accept().unwrap().0);
+    next.hear(watch).expect("the question again");
+    stop.write_all(&[1, 1]).unwrap();
+    host.join().unwrap();
+}
