Do not take a connection that never comes up after a reload for an outage

Cause: a call to the new address whose connection did not come up in time counted as refused, so that the host served on by the old list past the 4 s after SIGHUP.

--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -27,6 +27,7 @@
         (Reach::Local, _) => Failure::Local,
         (_, ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => Failure::Broken,
         (_, ErrorKind::BrokenPipe | ErrorKind::NotConnected) => Failure::Broken,
+        (_, ErrorKind::TimedOut) => Failure::NeverUp,
         (Reach::Remote, _) => Failure::Unreachable,
     }
 }
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -22,8 +22,10 @@
 /// How a call to the service failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// No connection came up: refused, unreachable, or never heard of again.
+    /// The network or the service's machine said that there is no way to it.
     Unreachable,
+    /// A connection has not come up in time, and nobody said why.
+    NeverUp,
     /// This host had no socket, port or memory to call with.
     Local,
     /// The connection ended before any of an answer came.
@@ -132,7 +134,7 @@
         match self.last_failure {
             Some(Failure::Unreachable) => true,
             // Right after a reload it may as well be a service that others crowd, and the operator says it is there.
-            Some(Failure::Broken | Failure::TurnedAway) => {
+            Some(Failure::NeverUp | Failure::Broken | Failure::TurnedAway) => {
                 self.reloads.is_empty() || self.rules.silent_when_down
             }
             Some(Failure::Silent) => self.rules.silent_when_down,
--- a/src/list_client.rs
+++ b/src/list_client.rs
@@ -244,7 +244,7 @@
             return;
         };
         newest.late = true;
-        let failure = if newest.connected { Failure::Silent } else { Failure::Unreachable };
+        let failure = if newest.connected { Failure::Silent } else { Failure::NeverUp };
         self.answers = false;
         self.freshness.failed(failure);
         if self.pace.most_calls > 1 {
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -232,6 +232,7 @@
 fn a_list_outlives_its_time_only_while_the_service_is_down() {
     let cases = [
         (Failure::Unreachable, Validity::ServiceDown),
+        (Failure::NeverUp, Validity::ServiceDown),
         (Failure::Broken, Validity::ServiceDown),
         (Failure::TurnedAway, Validity::ServiceDown),
         (Failure::Local, Validity::Expired),
@@ -247,6 +248,24 @@
     }
 }
 
+#[test]
+fn after_a_reload_only_a_refusal_shows_that_the_service_is_down() {
+    let cases = [
+        (Failure::Unreachable, Validity::ServiceDown),
+        (Failure::NeverUp, Validity::Expired),
+        (Failure::Broken, Validity::Expired),
+        (Failure::TurnedAway, Validity::Expired),
+    ];
+    for (failure, validity) in cases {
+        let (mut client, _) = watching();
+        client.reloaded(1000.0);
+        let (first, _) = call(&mut client, 1000.0);
+        client.failed(2000.0, first, failure);
+        assert_eq!(client.validity(4849.0), Validity::Valid);
+        assert_eq!(client.validity(4850.0), validity, "{failure:?}");
+    }
+}
+
 #[test]
 fn a_service_that_was_seen_up_since_the_last_list_is_not_taken_for_down() {
     let (mut client, watch) = watching();
