One back-off for both doors, one place that tells of a failed call, and late calls in the log

Cause: a last read of the change. gateway::contact::Return had the doubling and spreading that Backoff has; two functions told of a failed call in the same words; a call made beside a late one was told at debug level alone. Change: Return stands on Backoff (same numbers from the same seed), log_failed serves both, a call beside late ones is logged at the default level with their count.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -4,8 +4,7 @@
 //! The module decides whether and when a node is tried; this only keeps a try from dying on a connection
 //! that is dead, or from reaching another process than the one that it was meant for.
 
-use magpiewick::Ms;
-use nanorand::{Rng, WyRand};
+use magpiewick::{Backoff, Chance, Ms};
 
 /// Waits before a service that pushes is connected to again: the first, doubled up to the last.
 const FIRST_WAIT: Ms = 50.0;
@@ -127,24 +126,21 @@
 
 /// When to come back to a service that pushes: with doubling waits, spread so that hosts do not come together.
 pub struct Return {
-    wait: Ms,
-    chance: WyRand,
+    backoff: Backoff,
+    chance: Chance,
 }
 
 impl Return {
     pub fn new(seed: u64) -> Return {
-        Return { wait: FIRST_WAIT, chance: WyRand::new_seed(seed) }
+        Return { backoff: Backoff::new(FIRST_WAIT, LAST_WAIT), chance: Chance::new(seed) }
     }
 
     pub fn failed(&mut self, now: Ms) -> Ms {
-        let spread = 0.5 + f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
-        let at = now + self.wait * spread;
-        self.wait = (self.wait * 2.0).min(LAST_WAIT);
-        at
+        now + self.backoff.failed(&mut self.chance)
     }
 
     pub fn succeeded(&mut self) {
-        self.wait = FIRST_WAIT;
+        self.backoff.reset();
     }
 }
 
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -72,7 +72,8 @@
     fn begin_call(&mut self, call: u64, target: Target) {
         let (now, address) = (self.floor.now, self.floor.discovery);
         let path = path(target);
-        self.floor.discovery_log.called(now, call, address, &path);
+        let late = self.floor.list_client.calls_out() - 1;
+        self.floor.discovery_log.called(now, call, late, address, &path);
         let key = match self.call_connection(address) {
             Ok(key) => key,
             Err(error) => {
@@ -151,12 +152,18 @@
         let (now, client) = (self.floor.now, &mut self.floor.list_client);
         let present = client.is_present(call);
         client.failed(now, call, failure);
+        self.log_failed(call, present, &why);
+    }
+
+    /// Tells of a call that ended without a list; `present`: it went to the address that is named now.
+    fn log_failed(&mut self, call: u64, present: bool, why: &CallFailure) {
+        let now = self.floor.now;
         if !present {
-            return self.floor.discovery_log.former_ended(now, call, &why);
+            return self.floor.discovery_log.former_ended(now, call, why);
         }
         self.floor.counts.lists_failed += 1;
-        let next_in = client.next_call_at() - now;
-        self.floor.discovery_log.failed(now, call, &why, next_in);
+        let next_in = self.floor.list_client.next_call_at() - now;
+        self.floor.discovery_log.failed(now, call, why, next_in);
     }
 
     pub(crate) fn read_call(&mut self, key: usize) {
@@ -200,7 +207,8 @@
             self.floor.peers.try_remove(key);
         }
         let Verdict::Take(news) = verdict else {
-            return self.answer_refused(call, present, verdict);
+            let why = if verdict == Verdict::Gap { CallFailure::Gap } else { CallFailure::Outdated };
+            return self.log_failed(call, present, &why);
         };
         self.floor.discovery_log.answered(now, call, present, generation, lines, took);
         self.take_in(&listing, news);
@@ -211,20 +219,6 @@
         self.run_list_client();
     }
 
-    fn answer_refused(&mut self, call: u64, present: bool, verdict: Verdict) {
-        let now = self.floor.now;
-        let why = match verdict {
-            Verdict::Gap => CallFailure::Gap,
-            _ => CallFailure::Outdated,
-        };
-        if !present {
-            return self.floor.discovery_log.former_ended(now, call, &why);
-        }
-        self.floor.counts.lists_failed += 1;
-        let next_in = self.floor.list_client.next_call_at() - now;
-        self.floor.discovery_log.failed(now, call, &why, next_in);
-    }
-
     /// Tells the desk what a discovery told.
     fn take_in(&mut self, listing: &Listing, news: News) {
         self.floor.counts.lists += 1;
--- a/crates/platform/src/discovery_log.rs
+++ b/crates/platform/src/discovery_log.rs
@@ -115,11 +115,12 @@
 }
 
 impl DiscoveryLog {
-    /// A call begins. Routine calls, those that follow an answer, are told at debug level alone.
-    pub fn called(&mut self, now: Ms, call: u64, address: SocketAddr, target: &str) {
+    /// A call begins, beside some that are late. Routine calls, those that follow an answer, are told at debug level
+    /// alone.
+    pub fn called(&mut self, now: Ms, call: u64, late: usize, address: SocketAddr, target: &str) {
         self.counts.calls += 1;
-        if self.failing {
-            limited!(self, now, call, %address, target, "discovery call");
+        if self.failing || late > 0 {
+            limited!(self, now, call, late, %address, target, "discovery call");
         } else {
             tracing::debug!(call, %address, target, "discovery call");
         }
