Log and count each request, attempt, connection end and unexpected byte

Cause: the lost request could not be followed: no line tied a request to its connection and attempts, and bytes on a resting connection were dropped without a word. Change: debug lines for each request, attempt and answer with the numbers of their connections; why each connection of a client or to a node ended, counted by reason; bytes outside an exchange counted by node with how long the connection had rested.

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -8,7 +8,7 @@
 use crate::memory::{self, Holder};
 use crate::nodes::{Numbers, Pool, STALLS};
 use crate::outcome::{outcome, Sign};
-use crate::request_log::{Closed, Named, RequestLog};
+use crate::request_log::{Closed, Named, RequestLog, UpstreamClosed};
 use crate::shutdown::Shutdown;
 use crate::wall_clock::WallClock;
 use magpiewick::{Answer, Condition, Ending, Entry, ListClient, Ms, Outcome};
@@ -104,6 +104,9 @@
     /// When the last bytes came of an answer that is not whole.
     pub begun: Option<Ms>,
     pub stage: Stage,
+    /// Whole answers that came on it, and when the last of them did.
+    pub exchanges: u32,
+    pub rests_since: Ms,
 }
 
 impl Link {
@@ -409,8 +412,7 @@
             // What it has just asked would be lost with it; and the end of a connection with bytes unread is a break.
             if !self.client(key).is_some_and(|c| c.stream.unread()) {
                 self.counts.evicted += 1;
-                self.log_closed(key, Closed::Evicted);
-                self.drop_client(key);
+                self.drop_client(key, Closed::Evicted);
                 return true;
             }
             all.retain(|s| s.key != key);
@@ -418,13 +420,6 @@
         false
     }
 
-    pub fn log_closed(&mut self, key: usize, why: Closed) {
-        let now = self.now;
-        if let Some((serial, asked)) = self.client(key).map(|c| (c.serial, c.asked)) {
-            self.request_log.closed(now, serial, asked, why);
-        }
-    }
-
     pub fn log_client_gone(&mut self, command: u64) {
         if let Some(open) = self.commands.get(&command) {
             let named = named(&self.nodes, open, self.now);
@@ -433,10 +428,11 @@
     }
 
     /// Ends a client's connection; the command that was open on it.
-    pub fn drop_client(&mut self, key: usize) -> Option<u64> {
+    pub fn drop_client(&mut self, key: usize, why: Closed) -> Option<u64> {
         self.client(key)?;
         self.clients -= 1;
         let Peer::Client(client) = self.peers.remove(key) else { return None };
+        self.request_log.closed(self.now, client.serial, client.asked, client.open, why);
         client.open
     }
 
@@ -448,8 +444,10 @@
         // What was read behind this request by now is still owed an answer.
         let close = close || client.last || leaves && (over || !client.partial());
         http1::write_answer(client.stream.output(), status, fields, body, close);
+        let (serial, command) = (client.serial, client.open);
         (client.open, client.closing, client.since) = (None, client.closing || close, now);
         self.again.push(key);
+        self.request_log.replied(serial, command, status, close);
     }
 
     /// Refuses what a client sent: nothing of it goes further.
@@ -471,19 +469,36 @@
         }
     }
 
-    pub fn drop_link(&mut self, key: usize) -> Option<Link> {
+    pub fn drop_link(&mut self, key: usize, why: UpstreamClosed) -> Option<Link> {
         self.link(key)?;
         self.links -= 1;
         let Peer::Link(link) = self.peers.remove(key) else { return None };
+        let node = self.nodes.get(&link.node).map(|n| n.id.as_str());
+        self.request_log.upstream_closed(self.now, node, link.serial, link.exchanges, why);
         if matches!(link.stage, Stage::Rests) {
             self.pool.ended(link.node, key);
         }
         Some(link)
     }
 
+    /// Ends a connection that met an end or bytes while it rested.
+    fn drop_stray(&mut self, key: usize) {
+        let now = self.now;
+        let Some(link) = self.link(key) else { return };
+        let (node, serial, bytes) = (link.node, link.serial, link.stream.input().len());
+        let rested = now - link.rests_since;
+        if bytes == 0 {
+            self.drop_link(key, UpstreamClosed::EndedAtRest);
+            return;
+        }
+        let name = self.nodes.get(&node).map(|n| n.id.as_str());
+        self.request_log.unexpected_bytes(now, name, serial, bytes, rested);
+        self.drop_link(key, UpstreamClosed::UnexpectedBytes);
+    }
+
     /// Ends a connection to a node and whatever hand-off is out on it.
     pub fn end_link(&mut self, key: usize, sign: Sign) {
-        let Some(link) = self.drop_link(key) else { return };
+        let Some(link) = self.drop_link(key, UpstreamClosed::Attempt(sign)) else { return };
         match link.stage {
             Stage::Rests => {}
             Stage::Coming { command, .. } => self.owe(command, outcome(sign, false), None, None),
@@ -515,6 +530,9 @@
         let used = read("x-iops-used").map(|percent| percent / 100.0);
         let others = read("x-rho").unwrap_or(0.0);
         let over = outcome == Outcome::Settled;
+        if let Some(open) = self.commands.get(&command) {
+            self.request_log.attempt_ended(&named(&self.nodes, open, now), outcome, latency);
+        }
         *self.counts.outcomes.entry(Reason::After(outcome).word()).or_default() += 1;
         self.owed.push((command, Answer { outcome, latency, over, used, others }));
     }
@@ -530,7 +548,7 @@
             if matches!(link.stream.fill_to(1), Ok(false)) && link.stream.input().is_empty() {
                 break Some(key);
             }
-            self.drop_link(key);
+            self.drop_stray(key);
         };
         let dialled = match (key, address) {
             (Some(key), _) => Ok(key),
@@ -566,11 +584,14 @@
         let Some(Peer::Link(link)) = self.peers.get_mut(key) else { return true };
         let Stage::Coming { command, ends, latest } = link.stage else { return true };
         let Some(open) = self.commands.get(&command).filter(|_| now <= latest) else { return false };
-        let deadline = format!("X-Deadline: {}m\r\n\r\n", (ends - now).max(1.0).floor());
+        let left = (ends - now).max(1.0).floor();
+        let deadline = format!("X-Deadline: {left}m\r\n\r\n");
         let out = link.stream.output();
         [&open.head, deadline.as_bytes(), &open.body].iter().for_each(|part| out.extend_from_slice(part));
         let end = link.stream.queued_in_all();
         link.stage = Stage::Out { command, end, written: None };
+        let request = named(&self.nodes, open, now);
+        self.request_log.attempt_begun(&request, link.serial, link.exchanges, left);
         self.counts.sent += 1;
         true
     }
@@ -579,14 +600,15 @@
     fn dial(&mut self, node: u32, address: SocketAddr) -> Result<usize, Outcome> {
         if self.links >= self.room.links {
             let key = self.pool.gives_way().ok_or(Outcome::NoConnection)?;
-            self.drop_link(key);
+            self.drop_link(key, UpstreamClosed::GaveWay);
         }
         let (now, serial) = (self.now, self.next_serial());
         let open = |floor: &mut Floor| {
             floor.enter(|poll, key| {
                 let stream = Stream::connect(poll, address, key)?;
                 let (answers, begun, stage) = (Answers::default(), None, Stage::Rests);
-                Ok(Peer::Link(Link { stream, node, serial, answers, begun, stage }))
+                let (exchanges, rests_since) = (0, now);
+                Ok(Peer::Link(Link { stream, node, serial, answers, begun, stage, exchanges, rests_since }))
             })
         };
         let opened = match open(self) {
@@ -644,8 +666,8 @@
             Stage::Coming { .. } => return self.flush_link(key),
             Stage::Rests => {
                 // Nothing was asked: whatever comes, the connection is of no more use.
-                self.drop_link(key);
-                return;
+                _ = link.stream.fill();
+                return self.drop_stray(key);
             }
         };
         let next = match next_answer(&mut link.stream, &mut link.answers) {
@@ -662,15 +684,16 @@
         link.begun = None;
         let whole = link.written();
         let node = link.node;
+        link.exchanges += 1;
         if last || !whole {
-            self.drop_link(key);
+            self.drop_link(key, UpstreamClosed::AfterAnswer);
         } else {
-            link.stage = Stage::Rests;
+            (link.stage, link.rests_since) = (Stage::Rests, now);
             link.stream.rest();
             let ready = self.nodes.get(&node).is_some_and(|n| n.condition == Condition::Ready);
             match ready {
                 true => self.pool.rests(now, node, key),
-                false => _ = self.drop_link(key),
+                false => _ = self.drop_link(key, UpstreamClosed::EndpointLeft),
             }
         }
         let sign = Sign::Answer { status: answer.status, not_run: answer.field("x-not-run") == Some("1") };
@@ -723,7 +746,10 @@
         let node = Node { id, address: line.address, condition: line.condition, told, started };
         let before = self.nodes.insert(number, node);
         if line.condition != Condition::Ready || before.is_some_and(|n| n.address != line.address) {
-            self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
+            self.pool
+                .leaves(number)
+                .into_iter()
+                .for_each(|key| _ = self.drop_link(key, UpstreamClosed::EndpointLeft));
         }
         if line.condition != Condition::Ready {
             self.take_back(number);
@@ -732,7 +758,10 @@
     }
 
     fn forget_node(&mut self, number: u32) {
-        self.pool.leaves(number).into_iter().for_each(|key| _ = self.drop_link(key));
+        self.pool
+            .leaves(number)
+            .into_iter()
+            .for_each(|key| _ = self.drop_link(key, UpstreamClosed::EndpointLeft));
         self.take_back(number);
         if let Some(node) = self.nodes.remove(&number) {
             self.numbers.forget(self.now, &node.id);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -27,7 +27,7 @@
 use magpiewick_link::{accept_error, AcceptError, Clock, Poll, Registered, Woken};
 use outcome::Sign;
 use reload::Reload;
-use request_log::Closed;
+use request_log::{Closed, UpstreamClosed};
 use serde_json::Value;
 use std::io::{self, Read};
 use std::net::TcpListener;
@@ -194,10 +194,7 @@
         for key in self.floor.too_large() {
             self.floor.counts.crowded += 1;
             match self.floor.peers.get(key) {
-                Some(Peer::Client(_)) => {
-                    self.floor.log_closed(key, Closed::OverMemory);
-                    self.client_gone(key);
-                }
+                Some(Peer::Client(_)) => self.end_client(key, Closed::OverMemory),
                 Some(Peer::Link(_)) => self.floor.end_link(key, Sign::Spoilt),
                 Some(Peer::Call(_)) => self.call_ended(key, CallFailure::TooLarge, Failure::Unusable),
                 None => {}
@@ -334,7 +331,7 @@
             self.read_anew();
         }
         for key in self.floor.pool.retired(now) {
-            self.floor.drop_link(key);
+            self.floor.drop_link(key, UpstreamClosed::Retired);
         }
         if now >= self.accepts_from {
             if let Some(listener) = &mut self.listener {
@@ -381,8 +378,8 @@
             self.floor.client_waits(key, now);
         } else if client.closing || client.stream.pending() > 0 {
             // A client that does not read its answer would keep it, and its place, for ever.
-            self.floor.log_closed(key, Closed::Unread);
-            self.floor.drop_client(key);
+            let why = if client.stream.pending() > 0 { Closed::Unread } else { Closed::Finished };
+            self.end_client(key, why);
         } else if client.open.is_some() {
             // It is owed something and is not looked at until that is done.
         } else if client.partial() && now < ends - 1.0 {
@@ -391,8 +388,7 @@
         } else if client.partial() {
             self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
         } else if client.asked == 0 {
-            self.floor.log_closed(key, Closed::Idle);
-            self.floor.drop_client(key);
+            self.end_client(key, Closed::Idle);
         }
     }
 
@@ -415,7 +411,12 @@
     }
 
     fn client_gone(&mut self, key: usize) {
-        if let Some(command) = self.floor.drop_client(key) {
+        self.end_client(key, Closed::ByClient);
+    }
+
+    /// Ends a client's connection. What is open on it has nobody to be answered to any more.
+    fn end_client(&mut self, key: usize, why: Closed) {
+        if let Some(command) = self.floor.drop_client(key, why) {
             self.floor.counts.gone += 1;
             self.floor.log_client_gone(command);
             if let Some(open) = self.floor.commands.get_mut(&command) {
@@ -600,6 +601,8 @@
         self.floor.counts.taken += 1;
         if let Some(client) = self.floor.client(key) {
             client.open = Some(number);
+            let (serial, in_front) = (client.serial, client.asked.saturating_sub(1));
+            self.floor.request_log.taken(serial, id, number, in_front);
         }
         self.desk.take(self.floor.now, taken, &mut self.floor);
         Ok(())
--- a/crates/platform/src/outcome.rs
+++ b/crates/platform/src/outcome.rs
@@ -21,6 +21,20 @@
     TakenBack,
 }
 
+impl Sign {
+    /// The word that stands for it in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Sign::Answer { .. } => "answered",
+            Sign::Spoilt => "spoilt",
+            Sign::Broke => "broke",
+            Sign::Late => "late",
+            Sign::GivenUp => "given-up",
+            Sign::TakenBack => "taken-back",
+        }
+    }
+}
+
 /// `written`: the kernel took the last byte. Only what the platform names as proof counts as never run.
 pub fn outcome(sign: Sign, written: bool) -> Outcome {
     match sign {
--- a/crates/platform/src/request_log.rs
+++ b/crates/platform/src/request_log.rs
@@ -2,6 +2,7 @@
 //! some of each kind, and counters for all.
 
 use crate::log_limit::LogLimit;
+use crate::outcome::Sign;
 use magpiewick::{Ms, Outcome};
 use magpiewick_desk::Reason;
 use std::collections::BTreeMap;
@@ -10,9 +11,11 @@
 const BURST: u32 = 8;
 const PER_SECOND: f64 = 0.5;
 
-/// Why a client's connection was closed by the host.
+/// Why a client's connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Closed {
+    /// The client ended or broke it.
+    ByClient,
     /// Another client takes its place.
     Evicted,
     /// Too many bytes wait in memory.
@@ -21,15 +24,52 @@
     Unread,
     /// It sent nothing whole in time.
     Idle,
+    /// Its last answer was written and read, or the client was given the time to read it.
+    Finished,
 }
 
 impl Closed {
     pub fn word(self) -> &'static str {
         match self {
+            Closed::ByClient => "by-client",
             Closed::Evicted => "evicted",
             Closed::OverMemory => "over-memory",
             Closed::Unread => "answer-not-read",
             Closed::Idle => "idle",
+            Closed::Finished => "finished",
+        }
+    }
+}
+
+/// Why a connection to a node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamClosed {
+    /// It rested for too long.
+    Retired,
+    /// It made room for another.
+    GaveWay,
+    /// Its node drains or has gone, or is at another address.
+    EndpointLeft,
+    /// Bytes came on it while it rested.
+    UnexpectedBytes,
+    /// Its node ended it while it rested.
+    EndedAtRest,
+    /// Its answer said so, ended with it, or came with bytes behind it or before its request was written whole.
+    AfterAnswer,
+    /// The attempt on it ended without a whole answer.
+    Attempt(Sign),
+}
+
+impl UpstreamClosed {
+    pub fn word(self) -> &'static str {
+        match self {
+            UpstreamClosed::Retired => "retired",
+            UpstreamClosed::GaveWay => "gave-way",
+            UpstreamClosed::EndpointLeft => "endpoint-left",
+            UpstreamClosed::UnexpectedBytes => "unexpected-bytes",
+            UpstreamClosed::EndedAtRest => "ended-at-rest",
+            UpstreamClosed::AfterAnswer => "after-answer",
+            UpstreamClosed::Attempt(sign) => sign.word(),
         }
     }
 }
@@ -42,8 +82,15 @@
     /// Attempts after the first, by what the one before met.
     pub retried: BTreeMap<&'static str, u64>,
     pub closed: BTreeMap<&'static str, u64>,
+    /// Connections to nodes that ended.
+    pub upstream_closed: BTreeMap<&'static str, u64>,
+    /// Bytes that came from a node outside an exchange, by node: how often.
+    pub unexpected: BTreeMap<String, u64>,
 }
 
+/// Nodes that are counted by name: a list that names new nodes day after day must not make the counters grow.
+const MOST_NAMED: usize = 256;
+
 /// Writes the lines and keeps the counters.
 pub struct RequestLog {
     refused: LogLimit,
@@ -51,6 +98,8 @@
     retried: LogLimit,
     gone: LogLimit,
     closed: LogLimit,
+    upstream_closed: LogLimit,
+    unexpected: LogLimit,
     pub counts: RequestCounts,
 }
 
@@ -72,6 +121,8 @@
             retried: limit(),
             gone: limit(),
             closed: limit(),
+            upstream_closed: limit(),
+            unexpected: limit(),
             counts: RequestCounts::default(),
         }
     }
@@ -120,12 +171,74 @@
         }
     }
 
-    /// The host closed a client's connection.
-    pub fn closed(&mut self, now: Ms, client: u64, asked: u32, why: Closed) {
+    /// A client's connection ended; `open`: its request that had no answer yet.
+    pub fn closed(&mut self, now: Ms, client: u64, asked: u32, open: Option<u64>, why: Closed) {
+        let word = why.word();
+        *self.counts.closed.entry(word).or_default() += 1;
+        tracing::debug!(client, asked, open, why = word, "client connection ended");
+        let ordinary = matches!(why, Closed::ByClient | Closed::Finished);
+        if let Some(suppressed) = (!ordinary).then(|| self.closed.admit(now)).flatten() {
+            tracing::info!(client, asked, open, why = word, suppressed, "closed a client's connection");
+        }
+    }
+
+    /// A request was read whole and taken; `command` is its number in other lines.
+    pub fn taken(&self, client: u64, id: &str, command: u64, in_front: u32) {
+        tracing::debug!(client, id, command, in_front, "request taken");
+    }
+
+    /// An answer was handed to a client's connection.
+    pub fn replied(&self, client: u64, command: Option<u64>, status: u16, close: bool) {
+        tracing::debug!(client, command, status, close, "answer queued");
+    }
+
+    /// An attempt begins on a connection to a node.
+    pub fn attempt_begun(&self, request: &Named, connection: u64, exchanges: u32, deadline: Ms) {
+        let (id, attempt, node) = (request.id, request.attempts, request.node);
+        tracing::debug!(id, attempt, node, connection, exchanges, deadline_ms = deadline, "attempt written");
+    }
+
+    /// An attempt ended.
+    pub fn attempt_ended(&self, request: &Named, outcome: Outcome, latency: Ms) {
+        let (id, attempt, node) = (request.id, request.attempts, request.node);
+        let outcome = Reason::After(outcome).word();
+        tracing::debug!(id, attempt, node, outcome, latency_ms = latency, "attempt ended");
+    }
+
+    /// A connection to a node ended.
+    pub fn upstream_closed(
+        &mut self,
+        now: Ms,
+        node: Option<&str>,
+        connection: u64,
+        exchanges: u32,
+        why: UpstreamClosed,
+    ) {
         let why = why.word();
-        *self.counts.closed.entry(why).or_default() += 1;
-        if let Some(suppressed) = self.closed.admit(now) {
-            tracing::info!(client, asked, why, suppressed, "closed a client's connection");
+        *self.counts.upstream_closed.entry(why).or_default() += 1;
+        tracing::debug!(node, connection, exchanges, why, "connection to a node ended");
+        if let Some(suppressed) = self.upstream_closed.admit(now) {
+            tracing::info!(node, connection, exchanges, why, suppressed, "closed a connection to a node");
+        }
+    }
+
+    /// Bytes came from a node that belong to no exchange, so long after the last one on their connection ended.
+    pub fn unexpected_bytes(
+        &mut self,
+        now: Ms,
+        node: Option<&str>,
+        connection: u64,
+        bytes: usize,
+        rested: Ms,
+    ) {
+        let name = node.unwrap_or("unlisted");
+        let counts = &mut self.counts.unexpected;
+        if counts.len() < MOST_NAMED || counts.contains_key(name) {
+            *counts.entry(name.to_string()).or_default() += 1;
+        }
+        if let Some(suppressed) = self.unexpected.admit(now) {
+            let rested_ms = rested;
+            tracing::warn!(node, connection, bytes, rested_ms, suppressed, "unexpected bytes from a node");
         }
     }
 }
