--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! bad nodes, a bad discovery, signals, and descriptors that run out.
 
 mod endings;
+mod exchanges;
 mod faults;
 mod proxy;
 mod rig;
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -76,6 +76,39 @@
     Waits(Duration),
     /// Writes all but the end of an answer of so many bytes, and then one byte now and then.
     Dribbles(usize),
+    /// Serves, but first something that belongs to an exchange before it on this connection arrives.
+    ServesBehind(Stray),
+}
+
+/// Bytes that belong to no open exchange.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stray {
+    /// The last answer on this connection once more.
+    Copy,
+    /// The answer before the last.
+    EarlierCopy,
+    /// All but the last bytes, so many, of a copy of the last answer.
+    CutCopy(usize),
+    Noise,
+    /// An interim answer: it is none, and harms nobody.
+    Interim,
+}
+
+impl Stray {
+    fn bytes(self, answers: &[Vec<u8>]) -> Vec<u8> {
+        let copy = |back: usize| answers.iter().rev().nth(back).cloned().unwrap_or_default();
+        match self {
+            Stray::Copy => copy(0),
+            Stray::EarlierCopy => copy(1),
+            Stray::CutCopy(left) => {
+                let mut bytes = copy(0);
+                bytes.truncate(bytes.len().saturating_sub(left));
+                bytes
+            }
+            Stray::Noise => b"\x01\x02noise".to_vec(),
+            Stray::Interim => b"HTTP/1.1 100 Continue\r\n\r\n".to_vec(),
+        }
+    }
 }
 
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{body}";
@@ -121,6 +154,7 @@
     fn serve(&self, stream: TcpStream) -> Option<()> {
         self.connections.fetch_add(1, Ordering::SeqCst);
         let (mut reader, mut stream) = (BufReader::new(stream.try_clone().ok()?), stream);
+        let mut answers: Vec<Vec<u8>> = Vec::new();
         loop {
             let message = Message::read(&mut reader)?;
             let id = message.field("x-request-id").unwrap_or_default().to_string();
@@ -130,6 +164,12 @@
             let does = next.or_else(|| self.always.lock().unwrap().clone()).unwrap_or(Does::Writes(SERVED));
             let filled = |bytes: &str| bytes.replace("{body}", &made_for(&id)).into_bytes();
             match does {
+                Does::ServesBehind(stray) => {
+                    stream.write_all(&stray.bytes(&answers)).ok()?;
+                    // As two segments, as they would come from two writes.
+                    std::thread::sleep(Duration::from_millis(1));
+                    stream.write_all(&filled(SERVED)).ok()?;
+                }
                 Does::Writes(bytes) => stream.write_all(&filled(bytes)).ok()?,
                 Does::WritesAndEnds(bytes) => {
                     stream.write_all(&filled(bytes)).ok()?;
@@ -165,6 +205,7 @@
                     stream.write_all(&filled(SERVED)).ok()?;
                 }
             }
+            answers.push(filled(SERVED));
         }
     }
 }
@@ -323,6 +364,7 @@
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let (mut reader, mut stream) = (BufReader::new(stream.try_clone().ok()?), stream);
+        let _answers: Vec<Vec<u8>> = Vec::new();
         loop {
             let message = Message::read(&mut reader)?;
             let target = message.line.split(' ').nth(1)?.to_string();
