Doubt an answer only by what goes on behind it: a body alone may hold anything

Change: HoldsAnother needs bytes behind the answer, which a cut copy filled up with the next answer always leaves.

--- a/crates/exchange/src/upstream.rs
+++ b/crates/exchange/src/upstream.rs
@@ -6,9 +6,6 @@
 
 /// How every answer begins.
 const ANSWER_START: &[u8] = b"HTTP/1.1 ";
-/// A body that ends in so many bytes of [`ANSWER_START`] may have swallowed the beginning of the next answer, of
-/// which the rest has not come yet. Fewer bytes end bodies by chance.
-const TELLING_START: usize = 3;
 /// Answers that are remembered for each connection.
 const REMEMBERED: usize = 32;
 
@@ -30,7 +27,8 @@
     NamesAnother,
     /// It is the same as an earlier one on this connection.
     CopyOfEarlier,
-    /// The beginning of another answer stands inside its body: a part of an earlier one came in front of it.
+    /// The beginning of another answer stands inside its body, and more came behind it: a part of an earlier answer
+    /// came first, and was filled up with what came next.
     HoldsAnother,
 }
 
@@ -102,16 +100,18 @@
     digest.digest()
 }
 
-/// Whether another answer begins inside a body, or begins there and goes on behind it.
+/// Whether another answer begins inside a body and goes on behind it. A body alone may hold anything.
 fn holds_another(body: &[u8], behind: &[u8]) -> bool {
+    if behind.is_empty() {
+        return false;
+    }
     let length = ANSWER_START.len();
     if body.windows(length).any(|bytes| bytes == ANSWER_START) {
         return true;
     }
     (1..length.min(body.len() + 1)).any(|inside| {
         let (start, rest) = ANSWER_START.split_at(inside);
-        let goes_on = behind.starts_with(rest) || rest.starts_with(behind) && inside >= TELLING_START;
-        body.ends_with(start) && goes_on
+        body.ends_with(start) && (behind.starts_with(rest) || rest.starts_with(behind))
     })
 }
 
