serve: hear clients out when the host stops, so that no answer is taken away

Frames that had come meanwhile lay unread in the kernel, so that the end broke the connection and took answers with it that were not read yet; whoever waited in the listener's queue got a reset. Change: a stopping host accepts who waits, answers all that it reads ('stopping'), ends its writing and reads what still comes for 0.3 s.

--- a/crates/exchange/src/endpoint_trust.rs
+++ b/crates/exchange/src/endpoint_trust.rs
@@ -3,9 +3,9 @@
 use crate::Ms;
 use std::collections::BTreeSet;
 
-/// How long a connection rests before it is used again: the time that the platform's protocol allows the network in
-/// every limit.
-const QUIET: Ms = 50.0;
+/// How long a connection rests before it is used again: twice the time that the platform's protocol allows the network
+/// in every limit, for a copy that a server writes late and for its way.
+const QUIET: Ms = 100.0;
 /// Once bytes came late, all connections rest this many times as long as those did.
 const LATENESS_FACTOR: Ms = 4.0;
 /// The longest rest that is learned so.
--- a/crates/exchange/src/endpoint_trust/tests.rs
+++ b/crates/exchange/src/endpoint_trust/tests.rs
@@ -14,7 +14,7 @@
 fn how_late_bytes_came_from_one_endpoint_is_held_against_all() {
     let mut trust = EndpointTrust::default();
     trust.unexpected(1, 3.0);
-    assert_eq!(trust.quiet(), QUIET, "no shorter than what the network is allowed");
+    assert_eq!(trust.quiet(), 100.0, "no shorter than what the network is allowed");
     trust.unexpected(1, 100.0);
     assert_eq!(trust.quiet(), 400.0);
     trust.unexpected(2, 10.0);
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -902,6 +902,15 @@
         }
     }
 
+    /// Tells all clients that nothing more comes, and reads what they still send.
+    pub fn end_writing_to_clients(&mut self) {
+        for (_, client) in &mut self.clients {
+            client.connection.end_writing();
+            // One that cannot be read any more ends at its next read.
+            _ = client.connection.set_reading(true);
+        }
+    }
+
     /// Whether all that clients are owed has been written.
     pub fn nothing_to_write(&self) -> bool {
         self.clients.iter().all(|(_, c)| c.connection.pending() == 0)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,9 @@
 /// The loop never sleeps longer: what came while the process stood still is told from what just came by it.
 const LONGEST_SLEEP: Ms = 20.0;
 
+/// How long clients are heard out once all that they are owed is written.
+const LINGER: Ms = 300.0;
+
 /// How a host ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostEnd {
@@ -52,6 +55,8 @@
     stop: Registered<UnixStream>,
     stops: usize,
     ends_by: Option<Ms>,
+    /// Set once nothing more is written to clients: until when they are heard out.
+    lingers_until: Option<Ms>,
     address: SocketAddr,
     /// Set while no more is read from clients, as enough is in hand.
     full: bool,
@@ -81,6 +86,7 @@
             floor,
             stops: 0,
             ends_by: None,
+            lingers_until: None,
             address,
             full: false,
             stood: Stood::new(now, sheet.start.round),
@@ -110,16 +116,29 @@
             if self.stops > 1 {
                 return Ok(HostEnd::Abandoned);
             }
-            if self.stops > 0 && self.in_hand() == 0 {
-                // A client that does not read its answers cannot keep the host from ending.
-                let late = self.floor.now + self.sheet.bounds.connect_within;
-                if self.floor.nothing_to_write() || self.floor.now >= *self.ends_by.get_or_insert(late) {
-                    return Ok(HostEnd::Stopped);
-                }
+            if self.stops > 0 && self.in_hand() == 0 && self.has_left() {
+                return Ok(HostEnd::Stopped);
             }
         }
     }
 
+    /// Sends clients away once all that they are owed is written; whether all of them have gone, or had their time.
+    /// What they still send is read and thrown away: the end of a connection with bytes unread would break it, and
+    /// take answers with it that its client has not read yet.
+    fn has_left(&mut self) -> bool {
+        let now = self.floor.now;
+        if let Some(until) = self.lingers_until {
+            return self.floor.client_keys().is_empty() || now >= until;
+        }
+        // A client that does not read its answers cannot keep the host from ending.
+        let late = *self.ends_by.get_or_insert(now + self.sheet.bounds.connect_within);
+        if self.floor.nothing_to_write() || now >= late {
+            self.floor.end_writing_to_clients();
+            self.lingers_until = Some(now + LINGER);
+        }
+        false
+    }
+
     /// Commands without their final answer, wherever they wait.
     fn in_hand(&self) -> usize {
         self.desk.in_hand() + self.floor.gate.waiting()
@@ -499,7 +518,9 @@
 
     fn client_readable(&mut self, key: usize) {
         let Some((input, ended)) = self.floor.read(key) else { return };
-        self.client_frames(key, input);
+        if self.lingers_until.is_none() {
+            self.client_frames(key, input);
+        }
         if let Some(ended) = ended {
             self.client_gone(key, &said(&ended));
         }
@@ -770,7 +791,10 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => self.stops += 1,
         }
-        if self.stops > 0 && self.listener.take().is_some() {
+        if self.stops > 0 && self.listener.is_some() {
+            // Whoever the kernel has accepted already is this host's own.
+            self.accept();
+            self.listener = None;
             tracing::info!(in_hand = self.desk.in_hand(), "told to stop; nothing new is taken");
         }
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -663,3 +663,94 @@
     stop.write_all(&[1, 1]).unwrap();
     host.join().unwrap();
 }
+
+#[test]
+fn what_is_held_back_when_the_host_is_told_to_stop_is_answered() {
+    let node = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut rig = Rig::unheard(node, |sheet| sheet.bounds.most_in_hand = 2);
+    rig.tell(true, 1, State::Ready, 1, LONG_AGO);
+    let mut client = rig.client();
+    (1..=6).for_each(|command| client.take(command, 1, b"block"));
+    let mut node = rig.greeted();
+    let out = [node.hand_off().unwrap(), node.hand_off().unwrap()];
+    rig.stop.write_all(&[1]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    out.into_iter().for_each(|hand_off| node.settle(hand_off, b"done"));
+    let mut answers: Vec<(u64, Verdict)> =
+        (0..6).map_while(|_| client.answer()).map(|a| (a.0, a.1)).collect();
+    answers.sort_unstable_by_key(|answer| answer.0);
+    let numbers: Vec<u64> = answers.iter().map(|answer| answer.0).collect();
+    assert_eq!(numbers, [1, 2, 3, 4, 5, 6]);
+    assert!(answers[2..].iter().all(|answer| answer.1 == Verdict::Bounced), "{answers:?}");
+    drop(client);
+    assert_eq!(rig.host.join().unwrap(), HostEnd::Stopped);
+}
+
+/// Sends commands on and on until the host ends the connection: what ended it, as the client sees it, and the highest
+/// of its commands that was answered and how many were.
+fn sends_until_the_end(mut client: End) -> (std::io::Result<usize>, u64, u64) {
+    let mut sends = client.stream.try_clone().unwrap();
+    let sending = std::thread::spawn(move || {
+        for command in 1.. {
+            let (volume, key, mark, units, limit_us, blocks) = (1, 7 + command, command, 1.0, 4_000_000, 1);
+            let (band, writes, payload) = (0, false, &[][..]);
+            let take =
+                Take { command, band, write: writes, volume, key, mark, units, limit_us, blocks, payload };
+            let mut bytes = Vec::new();
+            write(&Message::Take(take), &mut bytes);
+            if sends.write_all(&bytes).is_err() {
+                return;
+            }
+            std::thread::sleep(Duration::from_micros(200));
+        }
+    });
+    let (mut highest, mut count) = (0, 0);
+    let end = loop {
+        let mut used = 0;
+        while let Ok(Read::Whole(message, n)) = read(&client.bytes[used..]) {
+            used += n;
+            if let Message::Final(answer) = message {
+                (highest, count) = (highest.max(answer.command), count + 1);
+            }
+        }
+        client.bytes.drain(..used);
+        let mut piece = [0; 65536];
+        match client.stream.read(&mut piece) {
+            Ok(n) if n > 0 => client.bytes.extend_from_slice(&piece[..n]),
+            end => break end,
+        }
+    };
+    drop(client);
+    sending.join().unwrap();
+    (end, highest, count)
+}
+
+#[test]
+fn a_host_that_stops_breaks_no_connection_and_answers_all_that_it_read() {
+    for _ in 0..10 {
+        let rig = Rig::start(LONG_AGO);
+        let clients: Vec<_> = (0..6).map(|_| rig.client()).collect();
+        let clients: Vec<_> = clients
+            .into_iter()
+            .map(|client| std::thread::spawn(move || sends_until_the_end(client)))
+            .collect();
+        let mut node = rig.greeted();
+        let (mut ends, at) = (node.stream.try_clone().unwrap(), std::time::Instant::now());
+        let serving = std::thread::spawn(move || {
+            while let Some(hand_off) = node.hand_off() {
+                node.settle(hand_off, b"done");
+            }
+        });
+        std::thread::sleep(Duration::from_millis(60));
+        assert_eq!(rig.end(), HostEnd::Stopped);
+        assert!(at.elapsed() < Duration::from_secs(3), "{:?}", at.elapsed());
+        for client in clients {
+            let (end, highest, count) = client.join().unwrap();
+            assert!(matches!(end, Ok(0)), "a reset: {end:?}");
+            assert_eq!(highest, count, "some of what came before the last answer has none");
+        }
+        _ = ends.flush();
+        _ = ends.shutdown(std::net::Shutdown::Both);
+        serving.join().unwrap();
+    }
+}
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -102,6 +102,11 @@
         self.stream.set_reading(reading)
     }
 
+    /// Tells the peer that nothing more comes, while what it sends can still be read.
+    pub fn end_writing(&mut self) {
+        self.stream.end_writing();
+    }
+
     /// Marks of the frames whose last byte the kernel has not taken: the peer cannot have read them whole, and
     /// a frame that is not whole fails its checksum.
     pub fn never_left(&self) -> Vec<u64> {
