--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -320,13 +320,13 @@
     rows.filter(|row| of(row)).count()
 }
 
-fn listen() -> (TcpListener, SocketAddr) {
+pub fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     (listener, address)
 }
 
-fn accept(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
+pub fn accept(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let serve = serve.clone();
@@ -398,7 +398,6 @@
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let (mut reader, mut stream) = (BufReader::new(stream.try_clone().ok()?), stream);
-        let _answers: Vec<Vec<u8>> = Vec::new();
         loop {
             let message = Message::read(&mut reader)?;
             let target = message.line.split(' ').nth(1)?.to_string();
@@ -447,7 +446,8 @@
     }
 }
 
-fn settings() -> Value {
+/// The settings of a host, with a class of each effect.
+pub fn settings() -> Value {
     json!({
         "balancers": 1, "zones": ["a"], "registry_mode": "ask", "round_ns": 2_000_000,
         "profiles": [
@@ -482,6 +482,12 @@
 
 static RIGS: AtomicU64 = AtomicU64::new(0);
 
+/// An address for a host, given out once.
+pub fn next_address() -> (u64, SocketAddr) {
+    let number = RIGS.fetch_add(1, Ordering::SeqCst);
+    (number, address(number))
+}
+
 /// A host's address is its alone in this and other runs: a port that was free a moment ago on the address that all
 /// others use is taken by the next of them.
 fn address(rig: u64) -> SocketAddr {
@@ -520,8 +526,7 @@
             addresses.push(address);
         }
         let (discovery, discovery_at) = Discovery::new(instances);
-        let number = RIGS.fetch_add(1, Ordering::SeqCst);
-        let host = address(number);
+        let (number, host) = next_address();
         let mut settings = settings();
         others(&mut settings);
         let config = json!({
@@ -674,7 +679,8 @@
     })
 }
 
-fn program(file: &std::path::Path, descriptors: usize, faults: Option<&str>) -> Child {
+/// Starts a host that is told by this file.
+pub fn program(file: &std::path::Path, descriptors: usize, faults: Option<&str>) -> Child {
     let mut command = Command::new("/bin/sh");
     let preload = match faults {
         Some(faults) => format!("LD_PRELOAD={} SHIM_FAULTS={faults}", shim().display()),
