--- a/crates/cli/tests/soak/plan.rs
+++ b/crates/cli/tests/soak/plan.rs
@@ -32,6 +32,8 @@
     pub abandoned: u64,
     /// The time between an answer and its late copy is below this.
     pub lateness: u64,
+    /// A client rests for less than so many milliseconds between its pieces.
+    pub rest: u64,
     /// Whether hosts are held up now and then, for 0.14 s.
     pub stalls: bool,
     pub plant: Option<Plant>,
@@ -57,6 +59,7 @@
             trouble: if quiet { 0 } else { [1, 5, 15][draw.below(3) as usize] },
             abandoned: if quiet { 0 } else { [2, 10, 40][draw.below(3) as usize] },
             lateness: [6, 25, 250][draw.below(3) as usize],
+            rest: [3, 40][draw.below(2) as usize],
             stalls: !quiet && draw.below(2) == 0,
             plant,
         }
