--- a/crates/exchange/src/endpoint_trust.rs
+++ b/crates/exchange/src/endpoint_trust.rs
@@ -8,7 +8,8 @@
 const QUIET: Ms = 100.0;
 /// Once bytes came late, all connections rest this many times as long as those did.
 const LATENESS_FACTOR: Ms = 4.0;
-/// The longest rest that is learned so.
+/// The longest rest that is learned so. What comes later than that belongs to no exchange: servers were met that say
+/// something when they end a connection that rested.
 const LONGEST_QUIET: Ms = 1000.0;
 /// An answer with this status ends an exchange in the ordinary way.
 const SERVED: u16 = 200;
@@ -46,7 +47,9 @@
     /// Bytes came from an endpoint outside an exchange, so long after the last one on their connection ended.
     pub fn unexpected(&mut self, endpoint: u32, rested: Ms) {
         self.distrusted.insert(endpoint);
-        self.quiet = self.quiet.max((rested * LATENESS_FACTOR).min(LONGEST_QUIET));
+        if rested < LONGEST_QUIET {
+            self.quiet = self.quiet.max((rested * LATENESS_FACTOR).min(LONGEST_QUIET));
+        }
     }
 
     /// The endpoint has left the list.
--- a/crates/exchange/src/endpoint_trust/tests.rs
+++ b/crates/exchange/src/endpoint_trust/tests.rs
@@ -20,5 +20,7 @@
     trust.unexpected(2, 10.0);
     assert_eq!(trust.quiet(), 400.0);
     trust.unexpected(2, 30_000.0);
+    assert_eq!(trust.quiet(), 400.0, "the last word of a connection that rested is no late answer");
+    trust.unexpected(2, 900.0);
     assert_eq!(trust.quiet(), LONGEST_QUIET);
 }
