Reproduce an answer that is dropped as its client's time to ask is over

Change: a test that holds the host up over both moments. It fails on and on the mend so far ('r0 has no answer'), known red.

--- a/crates/cli/tests/platform/exchanges.rs
+++ b/crates/cli/tests/platform/exchanges.rs
@@ -4,6 +4,7 @@
 use crate::proxy::{Harm, Proxy};
 use crate::rig::{command, instance, made_for, Client, Does, Limits, Rig, Seeded, Stray, SERVED};
 use crate::served;
+use serde_json::json;
 use std::time::{Duration, Instant};
 
 /// Asks one request after the other with a rest between them; each answer must be its own.
@@ -201,3 +202,26 @@
     }
     assert!(rig.most_memory() < 16 << 10, "{} KB", rig.most_memory());
 }
+
+#[test]
+fn an_answer_that_comes_as_its_clients_time_to_ask_is_over_reaches_it() {
+    // The module itself gives nothing up before.
+    let rig = Rig::told(1, Limits::default(), |settings| {
+        settings["limits"]["cancelling"] = json!(false);
+        settings["profiles"][0]["slo_ns"] = json!(3_000_000_000u64);
+    });
+    // A connection is looked at 2.2 s after it came. The host is held up then, so that the look and the first answer
+    // come to it in one moment.
+    rig.nodes[0].always(Does::Waits(Duration::from_millis(2180)));
+    let mut all: Vec<Client> = (0..8).map(|_| rig.client()).collect();
+    for (i, client) in all.iter_mut().enumerate() {
+        client.sends(&command(&format!("r{i}"), "read", 0, 2900));
+    }
+    std::thread::sleep(Duration::from_millis(2120));
+    rig.signal("STOP");
+    std::thread::sleep(Duration::from_millis(140));
+    rig.signal("CONT");
+    for (i, client) in all.iter_mut().enumerate() {
+        served(client.hears(), &format!("r{i}"));
+    }
+}
