Decide on a client's time by what the system refused to take, not by what was queued

Root cause of the incident, as far as it can be known: each connection is looked at 2.2 s after it came. The look stood between the queueing of answers and their writing in a turn of the loop, and took pending output without progress for a client that does not read: an answer that was queued in that turn on a connection that had none before was thrown away with it. A host that is held up over both moments does so every time, others once in a long while. Change: clients::late, free of I/O, decides; an answer counts as not read only when the system has taken nothing of it for 2.2 s since it was offered. The same class: an earlier look cut the time in which a client reads its last answer before the end; idle and incomplete are judged after what has just come was read; serve reads before it drops a client for half a frame.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -281,6 +281,10 @@
                 }
                 Timer::Connect { peer, try_number } => self.floor.connect_late(peer, try_number),
                 Timer::HalfFrame { client, serial } => {
+                    // What has come of it in this very moment is read first.
+                    if self.floor.half_frame_late(client, serial) {
+                        self.client_readable(client);
+                    }
                     if self.floor.half_frame_late(client, serial) {
                         self.client_gone(client, "left a frame half sent");
                     }
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -2,7 +2,7 @@
 //! in one place.
 
 use crate::ask;
-use crate::clients::{self, Standing};
+use crate::clients::{self, Late, Look, Standing};
 use crate::floor::{Floor, Open, Peer, Timed};
 use crate::memory;
 use crate::request_log::Closed;
@@ -12,6 +12,8 @@
 use magpiewick_http1::{self as http1, Refused};
 use magpiewick_link::Stream;
 
+/// What a client is told that began a request and did not go on with it.
+const INCOMPLETE: Refused = Refused { status: 408, why: "the request did not come whole" };
 /// What a request is told that came behind more than the host keeps.
 const TOO_MUCH_AHEAD: Refused = Refused { status: 503, why: "too many requests came before their answers" };
 /// What a request is told for which the host that ends has no time left.
@@ -36,8 +38,10 @@
     pub closing: bool,
     /// Bytes that came after that and were thrown away.
     pub thrown: usize,
-    /// What had been written when a timer last looked at an answer on its way.
-    pub written: u64,
+    /// Since when the system has taken nothing of an answer, and how much it had taken then.
+    pub blocked: Option<(Ms, u64)>,
+    /// Since when nothing more is written and what comes is thrown away.
+    pub sent_away: Option<Ms>,
     /// The client asked for the end after the open command's answer.
     pub last: bool,
 }
@@ -55,7 +59,8 @@
             timed: true,
             open: None,
             closing: false,
-            written: 0,
+            blocked: None,
+            sent_away: None,
             thrown: 0,
             last: false,
         }
@@ -70,6 +75,28 @@
         !self.queue.is_empty()
     }
 
+    fn look(&self) -> Look {
+        Look {
+            open: self.open.is_some(),
+            pending: self.stream.pending() > 0,
+            blocked: self.blocked.map(|(since, _)| since),
+            sent_away: self.sent_away,
+            partial: self.has_more().then_some(self.began),
+            asked: self.asked > 0,
+        }
+    }
+
+    /// Notes what the system took of the output by now; since when it has taken nothing, where some is left.
+    fn note_written(&mut self, now: Ms) -> Option<Ms> {
+        let written = self.stream.written_in_all();
+        self.blocked = match self.blocked {
+            _ if self.stream.pending() == 0 => None,
+            Some(before) if before.1 == written => Some(before),
+            _ => Some((now, written)),
+        };
+        self.blocked.map(|(since, _)| since)
+    }
+
     /// The memory that it takes, without the command that is open on it.
     pub fn held(&self) -> usize {
         self.stream.held() + self.queue.held()
@@ -197,33 +224,23 @@
 }
 
 impl Platform {
-    /// A client's time is over: one that sent nothing whole is told so, or let go.
+    /// A client's time may be over. What has come from it in this very moment is read before that is decided.
     pub(crate) fn client_late(&mut self, key: usize, serial: u64) {
         let now = self.floor.now;
-        let Some(client) = self.floor.client(key).filter(|c| c.serial == serial) else { return };
+        let same = |client: &&mut Client| client.serial == serial;
+        let Some(client) = self.floor.client(key).filter(same) else { return };
         client.timed = false;
-        let ends = client.began + clients::PATIENCE;
-        let written = client.stream.written_in_all();
-        if client.stream.pending() > 0 && written > client.written {
-            client.written = written;
-            self.floor.client_waits(key, now);
-        } else if client.closing || client.stream.pending() > 0 {
-            // A client that does not read its answer would keep it, and its place, for ever.
-            let why = if client.stream.pending() > 0 { Closed::Unread } else { Closed::Finished };
-            self.end_client(key, why);
-        } else if client.open.is_some() {
-            // It is owed something and is not looked at until that is done.
-        } else if client.has_more() && now < ends - 1.0 {
-            let began = client.began;
-            self.floor.client_waits(key, began);
-        } else if client.has_more() {
-            self.floor.refuse(key, Refused { status: 408, why: "the request did not come whole" }, true);
-        } else if client.asked == 0 {
-            // What has come in this very moment is not lost with it.
-            match client.stream.unread() {
-                true => self.read_client(key),
-                false => self.end_client(key, Closed::Idle),
-            }
+        if !client.closing && client.stream.reading() && client.stream.unread() {
+            self.read_client(key);
+        }
+        let Some(client) = self.floor.client(key).filter(same) else { return };
+        match clients::late(now, &client.look()) {
+            Late::Nothing => {}
+            Late::WaitsSince(since) => self.floor.client_waits(key, since),
+            Late::Unread => self.end_client(key, Closed::Unread),
+            Late::Finished => self.end_client(key, Closed::Finished),
+            Late::Incomplete => self.floor.refuse(key, INCOMPLETE, true),
+            Late::Idle => self.end_client(key, Closed::Idle),
         }
     }
 
@@ -272,8 +289,8 @@
         if client.stream.flush().is_err() {
             return self.client_gone(key);
         }
-        if client.stream.pending() > 0 {
-            return self.floor.client_waits(key, now);
+        if let Some(since) = client.note_written(now) {
+            return self.floor.client_waits(key, since);
         }
         if client.open.is_some() {
             return;
@@ -293,6 +310,7 @@
         let now = self.floor.now;
         let Some(client) = self.floor.client(key) else { return };
         client.stream.end_writing();
+        client.sent_away.get_or_insert(now);
         _ = client.stream.set_reading(true);
         let serial = client.serial;
         self.floor.timers.set(now + clients::LINGER, Timed::Client(key, serial));
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -58,6 +58,62 @@
 /// A newcomer is given this long to say what it wants before it gives way sooner than clients that come again.
 const SETTLES: Ms = 300.0;
 
+/// What is known of a client's connection when a timer looks at it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Look {
+    /// A request of it is open.
+    pub open: bool,
+    /// An answer is not written whole.
+    pub pending: bool,
+    /// Since when the system has taken nothing of what is pending; none where nobody has tried to write it yet.
+    pub blocked: Option<Ms>,
+    /// Since when nothing more is written to it and what it sends is thrown away.
+    pub sent_away: Option<Ms>,
+    /// Since when a part of a request is there.
+    pub partial: Option<Ms>,
+    /// It has sent a whole request.
+    pub asked: bool,
+}
+
+/// What becomes of a client's connection at a look.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Late {
+    /// Nothing is due, and no other look is needed for now.
+    Nothing,
+    /// It is looked at again when its patience since then is over.
+    WaitsSince(Ms),
+    /// It ends: its client does not read its answer.
+    Unread,
+    /// It ends: its client has had the time to read its last answer.
+    Finished,
+    /// Its client is told that its request did not come whole.
+    Incomplete,
+    /// It ends: its client has never asked.
+    Idle,
+}
+
+/// Decides about a connection whose time may be over. An answer that was queued in this very moment, and that nobody
+/// has tried to write yet, is no answer that its client does not read: only what the system refuses to take for long is.
+pub fn late(now: Ms, look: &Look) -> Late {
+    let over = |since: Ms| now - since >= PATIENCE - 1.0;
+    if look.pending {
+        return match look.blocked {
+            Some(since) if over(since) => Late::Unread,
+            since => Late::WaitsSince(since.unwrap_or(now)),
+        };
+    }
+    if let Some(since) = look.sent_away {
+        return if now - since >= LINGER - 1.0 { Late::Finished } else { Late::Nothing };
+    }
+    match look.partial {
+        _ if look.open => Late::Nothing,
+        Some(since) if over(since) => Late::Incomplete,
+        Some(since) => Late::WaitsSince(since),
+        None if look.asked => Late::Nothing,
+        None => Late::Idle,
+    }
+}
+
 /// The one that gives way to a newcomer: never one that is owed something; those that asked once or never before
 /// those that asked again, unless they have only just come; of these the one that has rested longest. Guards against
 /// clients that connect and say nothing, or ask once and stay; it could harm clients that keep many connections and
--- a/crates/platform/src/clients/tests.rs
+++ b/crates/platform/src/clients/tests.rs
@@ -24,3 +24,36 @@
     assert_eq!(gives_way(1000.0, all.into_iter()), Some(3), "it asked once and stayed");
     assert_eq!(gives_way(1000.0, all.into_iter().take(2)), Some(1));
 }
+
+#[test]
+fn an_answer_that_nobody_has_tried_to_write_is_not_one_that_is_not_read() {
+    let queued = Look { pending: true, asked: true, ..Look::default() };
+    assert_eq!(late(5000.0, &queued), Late::WaitsSince(5000.0));
+    let refused = Look { blocked: Some(4000.0), ..queued };
+    assert_eq!(late(5000.0, &refused), Late::WaitsSince(4000.0));
+    assert_eq!(late(4000.0 + PATIENCE, &refused), Late::Unread);
+}
+
+#[test]
+fn an_earlier_look_does_not_cut_the_time_to_read_the_last_answer() {
+    let leaves = Look { sent_away: Some(1000.0), asked: true, ..Look::default() };
+    assert_eq!(late(1001.0, &leaves), Late::Nothing);
+    assert_eq!(late(1000.0 + LINGER, &leaves), Late::Finished);
+}
+
+quickcheck! {
+    /// A plain model: what is owed something is never ended, but for an answer that the system did not take for long.
+    fn nothing_that_is_owed_ends(open: bool, pending: bool, since: [Option<u16>; 3], asked: bool) -> bool {
+        let [blocked, sent_away, partial] = since.map(|at| at.map(f64::from));
+        let look = Look { open, pending, blocked, sent_away, partial, asked };
+        let now = 70_000.0;
+        let unread = pending && blocked.is_some_and(|at| now - at >= PATIENCE);
+        match late(now, &look) {
+            Late::Unread => unread,
+            Late::Finished => !pending && sent_away.is_some(),
+            Late::Incomplete => !pending && !open && partial.is_some(),
+            Late::Idle => !pending && !open && partial.is_none() && !asked,
+            Late::WaitsSince(_) | Late::Nothing => true,
+        }
+    }
+}
