Offer queued answers to their clients before memory makes connections give way

Cause: the incident's class once more: a connection with an answer that was queued in this turn was taken for one whose client does not read, where too many bytes wait in memory. Change: what was queued is written first, then looked at.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -207,9 +207,11 @@
 
     /// Keeps what waits in memory within its bound, where a connection that was just read holds more than usual.
     fn sheds(&mut self, key: usize) {
-        if self.floor.held(key) < SELDOM {
+        if self.floor.held(key) < SELDOM || self.floor.too_large().is_empty() {
             return;
         }
+        // What was queued in this turn has not been offered to its client yet.
+        self.flush_queued();
         for key in self.floor.too_large() {
             self.floor.counts.crowded += 1;
             match self.floor.peers.get(key) {
@@ -293,9 +295,7 @@
                 self.floor.release(command);
             }
             self.desk.run(self.floor.now, &mut self.floor);
-            for key in std::mem::take(&mut self.floor.again) {
-                self.flush_client(key);
-            }
+            self.flush_queued();
             let floor = &self.floor;
             if floor.owed.is_empty() && floor.again.is_empty() && floor.gone.is_empty() {
                 return;
@@ -303,6 +303,13 @@
         }
     }
 
+    /// Writes the answers that were queued, and takes what their clients sent behind.
+    fn flush_queued(&mut self) {
+        for key in std::mem::take(&mut self.floor.again) {
+            self.flush_client(key);
+        }
+    }
+
     /// Accepts some of those that wait; whether none is left.
     fn accept(&mut self) -> bool {
         for _ in 0..ACCEPTS {
