Begin no attempt of a request that has its answer

Change: end_request takes an attempt back that is not written whole, and nothing is written for a request that has ended. The soak says which end it was.

--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -334,3 +334,14 @@
     }
     assert!(rig.ends().success());
 }
+
+#[test]
+fn an_attempt_whose_connection_is_coming_up_ends_with_its_request() {
+    let (rig, mut walled) = walled();
+    let answer = rig.client().asks(&command("c1", "once", 0, 700)).unwrap();
+    assert_eq!(answer.status(), 503, "{answer:?}");
+    rig.comes_to("the attempt is taken back", |_| walled.knocks() == 0);
+    walled.opens();
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(walled.knocks(), 0);
+}
--- a/crates/cli/tests/soak/audit.rs
+++ b/crates/cli/tests/soak/audit.rs
@@ -26,7 +26,7 @@
     NoAnswer { id: String, host: usize, after: Duration, why: &'static str },
     TooLate { id: String, by: Duration },
     MoreThanAsked { times: u64 },
-    BegunAfterItsEnd { id: String, after: Duration },
+    BegunAfterItsEnd { id: String, after: Duration, end: &'static str },
     ToldTooMuch { id: String, by: Duration },
     RunTwice { id: String, attempts: usize },
     Ended { host: usize, how: String },
@@ -45,9 +45,10 @@
             Finding::MoreThanAsked { times } => {
                 write!(f, "clients got more than they asked for, {times} times")
             }
-            Finding::BegunAfterItsEnd { id, after } => {
-                write!(f, "an attempt of {id} began {after:?} after its end")
+            Finding::BegunAfterItsEnd { id, after, end } => {
+                write!(f, "an attempt of {id} began {after:?} after {end}")
             }
+
             Finding::ToldTooMuch { id, by } => write!(f, "a node was told {by:?} more than {id} had left"),
             Finding::RunTwice { id, attempts } => write!(f, "{id} may run once and ran {attempts} times"),
             Finding::Ended { host, how } => write!(f, "host {host}: {how}"),
@@ -174,14 +175,15 @@
         let room = lateness.near(attempt.at);
         let id = request.id.clone();
         let gone = match &request.ended {
-            Ended::Left { at } => Some(*at),
+            Ended::Left { at } => Some((*at, "its client had left")),
             // What has its answer is over.
-            Ended::Answered { at, .. } => Some(*at),
+            Ended::Answered { at, .. } => Some((*at, "its answer")),
             Ended::Cut { .. } => None,
         };
-        let after = gone.map_or(Duration::ZERO, |gone| attempt.at.saturating_duration_since(gone));
+        let behind = |(gone, end)| (attempt.at.saturating_duration_since(gone), end);
+        let (after, end) = gone.map_or((Duration::ZERO, ""), behind);
         if after > BEGINS_BEHIND + room {
-            report.findings.push(Finding::BegunAfterItsEnd { id: id.clone(), after });
+            report.findings.push(Finding::BegunAfterItsEnd { id: id.clone(), after, end });
         }
         let left = (request.sent + request.deadline).saturating_duration_since(attempt.at);
         let by = attempt.told.saturating_sub(left);
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -211,10 +211,10 @@
         self.reply(key, refused.status, &[("Content-Type", b"text/plain")], body.as_bytes(), close);
     }
 
-    /// Whether the client that waits for a command has ended its connection by now, whatever was read of it. One that
-    /// has is ended with the next turn of the loop.
-    pub fn client_has_left(&mut self, command: u64) -> bool {
-        let Some(key) = self.commands.get(&command).and_then(|open| open.client) else { return false };
+    /// Whether a request has its answer, or its client has ended its connection by now, whatever was read of it. One
+    /// that has is ended with the next turn of the loop.
+    pub fn has_ended(&mut self, command: u64) -> bool {
+        let Some(key) = self.commands.get(&command).and_then(|open| open.client) else { return true };
         let left = self.client(key).is_some_and(|client| client.stream.peer_ended());
         if left {
             self.gone.push(key);
@@ -257,7 +257,7 @@
             open.client = None;
         }
         self.desk.abandoned(self.floor.now, command);
-        self.floor.client_left(command);
+        self.floor.take_unwritten_back(command);
         self.floor.release(command);
     }
 
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -258,9 +258,11 @@
         }
     }
 
-    /// Ends a request: the client that is now given its one final answer, if it still waits.
+    /// Ends a request: the client that is now given its one final answer, if it still waits. Nothing of it begins any
+    /// more: an attempt that is not written whole is taken back.
     fn end_request(&mut self, command: u64) -> Option<usize> {
         let client = self.commands.get_mut(&command)?.client.take();
+        self.take_unwritten_back(command);
         self.release(command);
         client
     }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -227,7 +227,7 @@
         if now > latest {
             return Err(Sign::GivenUp);
         }
-        if self.client_has_left(command) {
+        if self.has_ended(command) {
             return Err(Sign::TakenBack);
         }
         let Some(open) = self.commands.get(&command) else { return Err(Sign::GivenUp) };
@@ -414,9 +414,9 @@
         unbegun.into_iter().for_each(|key| self.end_link(key, Sign::TakenBack));
     }
 
-    /// Takes an attempt back that is not written whole, as its client has gone: its node has not begun it, and must
+    /// Takes an attempt back that is not written whole, as its request has ended: its node has not begun it, and must
     /// not begin it any more. That is no cancel of work, and needs no leave to cancel.
-    pub fn client_left(&mut self, command: u64) {
+    pub fn take_unwritten_back(&mut self, command: u64) {
         let Some((_, key, _)) = self.commands.get(&command).and_then(|open| open.out) else { return };
         if self.link(key).is_some_and(|link| !link.written()) {
             self.end_link(key, Sign::TakenBack);
