Log slow turns of the gateway; report the delays of a scenario's own threads

Cause: the finding "no final answer within 305 to 336 ms" of merge-split could be the host's, the clients' thread's or the emulated nodes': nothing recorded which of them was late. Change: LoopDelay of the transport measures turn and oversleep of an event loop. The gateway logs a turn over 50 ms as slow_turn with the requests pending; the scenario's report has client_delay_ms and emulator_delay_ms. merge-split and retry-storm log from warn on, so that the line is seen.

--- a/crates/cli/src/commands/scenario/report.rs
+++ b/crates/cli/src/commands/scenario/report.rs
@@ -39,6 +39,10 @@
         "payoff within the soft limit {:.3}; p50 {:.1} ms, p99 {:.1} ms",
         report.earned_share, report.p50_ms, report.p99_ms
     );
+    println!(
+        "longest delay of the clients {:.1} ms, of the emulated services {:.1} ms",
+        report.client_delay_ms, report.emulator_delay_ms
+    );
     println!(
         "hand-offs {}, further {}; hosts ended with {:?}",
         report.verdict.attempts, report.verdict.retries, report.exit_codes
--- a/crates/emulator/src/emulator.rs
+++ b/crates/emulator/src/emulator.rs
@@ -15,7 +15,7 @@
 use crate::timer_queue::TimerQueue;
 use crate::Ms;
 use magpiewick_node_protocol::{Frames, Hello, MapUpdate, Message, Role, LONG_AGO};
-use magpiewick_transport::{listen, Clock, Poll, Registered, Woken};
+use magpiewick_transport::{listen, Clock, LoopDelay, Poll, Registered, Woken};
 use nanorand::{Rng, WyRand};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::Receiver;
@@ -89,6 +89,7 @@
     pub(crate) interceptor: Option<Box<dyn AttemptInterceptor>>,
     pub(crate) defects: EmulatorDefects,
     pub(crate) now: Ms,
+    delay: LoopDelay,
     is_shutting_down: bool,
 }
 
@@ -117,6 +118,7 @@
             interceptor,
             defects: EmulatorDefects::default(),
             now: clock.now(),
+            delay: LoopDelay::start(clock.now()),
             is_shutting_down: false,
             clock,
             poll,
@@ -157,11 +159,14 @@
     pub(crate) fn run(&mut self, inbox: &Receiver<Command>) {
         let mut woken = Woken::default();
         while !self.is_shutting_down {
-            let wait = self.timers.next_at().map(|at| Clock::until(self.clock.now(), at));
+            let (now, wake_at) = (self.clock.now(), self.timers.next_at());
+            self.delay.on_sleep(now, wake_at.unwrap_or(f64::INFINITY));
+            let wait = wake_at.map(|at| Clock::until(now, at));
             if let Err(error) = self.poll.wait(&mut woken, wait) {
                 return tracing::error!(%error, "emulator_poll_failed");
             }
             self.now = self.clock.now();
+            self.delay.on_wake(self.now);
             inbox.try_iter().for_each(|command| command(self));
             while let Some(timer) = self.timers.pop_due(self.now) {
                 self.on_timer(timer);
@@ -206,6 +211,11 @@
         self.events.is_recording = false;
     }
 
+    /// The longest delay of the event loop so far.
+    pub fn longest_delay(&self) -> Ms {
+        self.delay.longest()
+    }
+
     pub(crate) fn take_events(&mut self) -> Vec<(Ms, NodeEvent)> {
         std::mem::take(&mut self.events.events)
     }
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -17,7 +17,7 @@
 use crate::upstream_pool::CloseReason;
 use magpiewick::{Answer, EndpointUpdate, Ms, Outcome};
 use magpiewick_engine::{Engine, StallDetector};
-use magpiewick_transport::{Clock, Poll, Woken};
+use magpiewick_transport::{Clock, LoopDelay, Poll, Woken};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -25,6 +25,9 @@
 /// The loop never sleeps longer: what came while the process stalled is told from what just came by it.
 const MAX_SLEEP: Ms = 20.0;
 
+/// A turn that took longer is logged: what was answered in it may be late.
+const SLOW_TURN: Ms = 50.0;
+
 /// How a host ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostEnd {
@@ -45,6 +48,7 @@
     /// Set while no more is read from clients, as enough is pending.
     at_capacity: bool,
     stall_detector: StallDetector,
+    delay: LoopDelay,
 }
 
 /// What came of an attempt, besides its outcome.
@@ -84,6 +88,7 @@
             poll,
             at_capacity: false,
             stall_detector: StallDetector::new(now, config.start.round),
+            delay: LoopDelay::start(now),
             config,
         })
     }
@@ -102,10 +107,11 @@
         let mut woken = Woken::default();
         loop {
             let max_sleep = self.max_sleep();
-            self.stall_detector.on_sleep(self.connections.clock_now(), max_sleep);
+            self.note_sleep(max_sleep);
             self.poll.wait(&mut woken, Some(Clock::until(0.0, max_sleep)))?;
             self.connections.update_now();
             self.stall_detector.on_wake(self.connections.now());
+            self.delay.on_wake(self.connections.now());
             self.turn(&woken);
             if self.shutdown.is_forced() {
                 return Ok(HostEnd::Abandoned);
@@ -120,6 +126,16 @@
         }
     }
 
+    /// The turn is over and the loop sleeps for `max_sleep` at most.
+    fn note_sleep(&mut self, max_sleep: Ms) {
+        let now = self.connections.clock_now();
+        self.stall_detector.on_sleep(now, max_sleep);
+        let turn_ms = self.delay.on_sleep(now, now + max_sleep);
+        if turn_ms > SLOW_TURN {
+            tracing::warn!(turn_ms, pending = self.pending(), "slow_turn");
+        }
+    }
+
     /// Requests without their final answer, wherever they wait.
     fn pending(&self) -> usize {
         self.engine.pending() + self.connections.blocked_writes()
--- a/crates/scenario/src/client_loop.rs
+++ b/crates/scenario/src/client_loop.rs
@@ -10,7 +10,7 @@
 use magpiewick::Idempotency;
 use magpiewick_gateway::config::HostConfig;
 use magpiewick_node_protocol::{self as wire, FinalCode, Frames, Hello, Message, Role, LONG_AGO};
-use magpiewick_transport::{Clock, Connection, Poll, Timers, Woken, NOTHING};
+use magpiewick_transport::{Clock, Connection, LoopDelay, Poll, Timers, Woken, NOTHING};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
@@ -79,6 +79,7 @@
     next_due: Ms,
     max_in_flight: Option<usize>,
     now: Ms,
+    delay: LoopDelay,
     end: Ms,
     events: Option<Vec<(Ms, ClientEvent)>>,
     statistics: ClientStatistics,
@@ -118,6 +119,7 @@
             next_due: session.begin,
             max_in_flight: session.in_flight,
             now: session.clock.now(),
+            delay: LoopDelay::start(session.clock.now()),
             end: session.end,
             events: session.record.then(Vec::new),
             statistics: ClientStatistics::default(),
@@ -132,11 +134,14 @@
         let mut woken = Woken::default();
         (0..self.hosts.len()).for_each(|host| self.connect(host));
         loop {
-            let wait = Clock::until(self.clock.now(), self.next_wakeup());
+            let (now, wake_at) = (self.clock.now(), self.next_wakeup());
+            self.delay.on_sleep(now, wake_at);
+            let wait = Clock::until(now, wake_at);
             if let Err(error) = self.poll.wait(&mut woken, Some(wait)) {
                 return tracing::error!(%error, "client_poll_failed");
             }
             self.now = self.clock.now();
+            self.delay.on_wake(self.now);
             inbox.try_iter().collect::<Vec<_>>().into_iter().for_each(|command| self.on_command(command));
             woken.readable.iter().for_each(|key| self.on_readable(*key));
             while let Some(id) = self.timers.due(self.now) {
@@ -153,7 +158,11 @@
 
     /// What the clients did and saw.
     pub(crate) fn into_report(self) -> ClientReport {
-        ClientReport { statistics: self.statistics, events: self.events.unwrap_or_default() }
+        ClientReport {
+            statistics: self.statistics,
+            longest_delay: self.delay.longest(),
+            events: self.events.unwrap_or_default(),
+        }
     }
 
     /// Whether a session that keeps a number of requests in flight has them, or is over.
--- a/crates/scenario/src/load_generator.rs
+++ b/crates/scenario/src/load_generator.rs
@@ -49,6 +49,8 @@
 pub struct ClientReport {
     /// Counts and latencies.
     pub statistics: ClientStatistics,
+    /// The longest delay of the clients' own event loop.
+    pub longest_delay: Ms,
     /// All events by time, where they were recorded.
     pub events: Vec<(Ms, ClientEvent)>,
 }
--- a/crates/scenario/src/scenario_run.rs
+++ b/crates/scenario/src/scenario_run.rs
@@ -51,6 +51,10 @@
     pub p50_ms: f64,
     /// The 99th percentile latency of successful requests.
     pub p99_ms: f64,
+    /// The longest delay of the clients' event loop: what they saw late may be due to it.
+    pub client_delay_ms: f64,
+    /// The longest delay of the emulated services' event loop.
+    pub emulator_delay_ms: f64,
     /// The exit codes of the hosts that were terminated at the end.
     pub exit_codes: Vec<Option<i32>>,
     /// What the audit found.
@@ -120,6 +124,7 @@
     let exit_codes =
         hosts.into_iter().flatten().map(HostProcess::end).collect::<Result<Vec<_>, ScenarioError>>()?;
     let stored = stored_data(&handle, emulator, options.defect);
+    let emulator_delay = handle.query(|emulator| emulator.longest_delay()).unwrap_or_default();
     let node_events = handle.take_events();
     let verdict = audit(&Evidence {
         host,
@@ -130,7 +135,10 @@
         stalls: &stalls,
         stored: &stored,
     });
-    Ok(report(settings, options, clients, verdict, exit_codes))
+    Ok(ScenarioReport {
+        emulator_delay_ms: emulator_delay,
+        ..report(settings, options, clients, verdict, exit_codes)
+    })
 }
 
 fn start_hosts(program: &HostProgram, count: usize) -> Result<Vec<Option<HostProcess>>, ScenarioError> {
@@ -161,6 +169,8 @@
         earned_share: verdict.earned_weight / verdict.total_weight.max(1e-9),
         p50_ms: statistics.latency_ms(0.5),
         p99_ms: statistics.latency_ms(0.99),
+        client_delay_ms: clients.longest_delay,
+        emulator_delay_ms: 0.0,
         exit_codes,
         verdict,
         without_overload_protection: None,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod connection;
 mod errors;
+mod loop_delay;
 mod poll;
 mod stream;
 mod timers;
 
 pub use connection::{Connection, Withdrawn, NOTHING};
 pub use errors::{accept_error, out_of_descriptors, reach, AcceptError, Reach};
+pub use loop_delay::LoopDelay;
 pub use poll::{Poll, Registered, Woken};
 pub use stream::{Ended, Stream};
 pub use timers::{Clock, Timers};
--- a/scenarios/merge-split.hcl
+++ b/scenarios/merge-split.hcl
@@ -17,7 +17,7 @@
 }
 
 log {
-  level = "error"
+  level = "warn"
 }
 
 budget {
--- a/scenarios/retry-storm.hcl
+++ b/scenarios/retry-storm.hcl
@@ -16,7 +16,7 @@
 }
 
 log {
-  level = "error"
+  level = "warn"
 }
 
 budget {
