Wake only the requests that free tokens of a rate limit cover

Cause: each request that expired with its rate limit's tokens had every request of its volume checked again that was short of tokens, and each token that accrued woke all of them: a turn of the event loop grew with the square of what was pending. Change: TokenWaiters keeps the waiting requests of a volume by units and arrival, with one timer a volume; free tokens wake the requests that they cover, in the order of arrival. A model of TokenWaiters.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -181,10 +181,7 @@
 
     /// Enqueues all requests that may be queued by now; the next one that may leave.
     fn next_dispatchable(&mut self, now: Ms) -> Option<usize> {
-        self.blocked.wake_due(now + TIMER_TOLERANCE);
-        while let Some(id) = self.blocked.next_to_check() {
-            self.enqueue_if_allowed(now, id);
-        }
+        self.enqueue_allowed(now);
         while self.place_request_without_shard(now) {}
         let nodes = self.nodes.dispatchable();
         nodes.into_iter().find_map(|node| self.next_to_dispatch(now, node))
--- a/src/scheduler/pending_request.rs
+++ b/src/scheduler/pending_request.rs
@@ -1,6 +1,7 @@
 //! What the scheduler knows of a request that is not over.
 
 use super::fair_queueing::Tag;
+use crate::structures::TokenWaiter;
 use crate::types::{Ms, Request};
 
 /// Where a request stands.
@@ -53,6 +54,11 @@
     pub(super) fn is_in_flight(&self) -> bool {
         matches!(self.state, RequestState::InFlight(_) | RequestState::Finished(_))
     }
+
+    /// The request of this index as one that waits for tokens of its volume.
+    pub(super) fn token_waiter(&self, id: usize) -> TokenWaiter {
+        TokenWaiter { volume: self.request.volume, arrival: self.arrival, id, units: self.request.units }
+    }
 }
 
 /// All requests that are not over, by the index that the caller gave them.
--- a/src/scheduler/queueing.rs
+++ b/src/scheduler/queueing.rs
@@ -2,14 +2,14 @@
 
 use super::fair_queueing::{flow_weight, FrameBounds, QueueEntry};
 use super::pending_request::RequestState;
-use super::Scheduler;
+use super::{Scheduler, TIMER_TOLERANCE};
 use crate::types::Ms;
 
 impl Scheduler {
     /// Has a blocked request checked again.
     pub(super) fn wake(&mut self, id: usize) {
         let Some(pending) = self.requests.blocked(id) else { return };
-        self.blocked.wake(pending.arrival, id, pending.request.shard.is_some());
+        self.blocked.wake(pending.token_waiter(id), pending.request.shard.is_some());
     }
 
     /// Has all blocked requests of a shard checked again.
@@ -22,7 +22,19 @@
     /// Takes a request off the list of blocked ones.
     pub(super) fn unblock(&mut self, id: usize) {
         let Some(pending) = self.requests.get(id) else { return };
-        self.blocked.remove(pending.arrival, id, pending.request.volume);
+        self.blocked.remove(pending.token_waiter(id));
+    }
+
+    /// Enqueues all blocked requests that may be queued by now.
+    pub(super) fn enqueue_allowed(&mut self, now: Ms) {
+        self.blocked.wake_due(now + TIMER_TOLERANCE);
+        self.wake_token_waiters(now);
+        while let Some(id) = self.blocked.next_to_check() {
+            self.enqueue_if_allowed(now, id);
+            if !self.blocked.has_any_to_check() {
+                self.wake_token_waiters(now);
+            }
+        }
     }
 
     /// Puts a blocked request into the queue of its node, or to sleep until its key and its rate limit may
@@ -30,18 +42,19 @@
     pub(super) fn enqueue_if_allowed(&mut self, now: Ms, id: usize) {
         let Some(pending) = self.requests.blocked(id) else { return };
         let Some(shard) = pending.request.shard else { return };
-        let arrival = pending.arrival;
+        let (arrival, waiter) = (pending.arrival, pending.token_waiter(id));
         let Some(node) = self.select_node(shard).map(|node| node.endpoint.node) else {
             return self.blocked.sleep(arrival, id, None);
         };
-        let mut allowed_at = self.blocked_until(now, id, node);
-        if allowed_at.is_some_and(|at| at <= now) {
-            allowed_at = self.reserve_tokens(now, id);
+        let allowed_at = self.blocked_until(now, id, node);
+        if allowed_at.is_none_or(|at| at > now) {
+            return self.blocked.sleep(arrival, id, allowed_at);
         }
-        if allowed_at.is_some_and(|at| at <= now) {
-            return self.enqueue(now, id, node);
+        match self.reserve_tokens(now, id) {
+            Some(covered_at) if covered_at > now => self.blocked.await_tokens(waiter, covered_at),
+            Some(_) => self.enqueue(now, id, node),
+            None => {}
         }
-        self.blocked.sleep(arrival, id, allowed_at);
     }
 
     /// Until when time alone keeps a request out of a node's queue; none where its key or idempotency do.
@@ -94,11 +107,10 @@
         let Some(pending) = self.requests.get_mut(id) else { return };
         let RequestState::Queued(index) = pending.state else { return };
         pending.state = RequestState::Blocked;
-        let mut woken = vec![id];
         let request = &pending.request;
         if pending.has_tokens && pending.attempts == 0 && self.rate_limits.release(request) {
             pending.has_tokens = false;
-            woken.extend(self.blocked.short_of_tokens(request.volume));
+            self.blocked.check_tokens_at(request.volume, f64::NEG_INFINITY);
         }
         if pending.tag.reserved {
             self.reserves.put_back(request);
@@ -107,8 +119,6 @@
         node.queue.remove_unsent(id, pending);
         node.reset_queue_if_idle();
         self.nodes.refresh(index);
-        for id in woken {
-            self.wake(id);
-        }
+        self.wake(id);
     }
 }
--- a/src/scheduler/rate_limit.rs
+++ b/src/scheduler/rate_limit.rs
@@ -20,18 +20,28 @@
         RateLimits { buckets: BTreeMap::new(), started_at }
     }
 
-    /// Reserves the tokens of a request, or says when the bucket holds them.
-    fn reserve(&mut self, now: Ms, request: &Request, policy: &QosPolicy) -> Result<(), Ms> {
+    /// The bucket of a request's volume, refilled.
+    fn refilled(&mut self, now: Ms, request: &Request, policy: &QosPolicy) -> &mut TokenBucket {
         let started_at = self.started_at;
         let bucket = self.buckets.entry(request.volume).or_insert_with(|| TokenBucket::new(started_at, 0.0));
-        let rate = policy.limit_rate / request.hosts;
-        bucket.refill(now, rate, policy.limit_burst / request.hosts);
+        bucket.refill(now, policy.limit_rate / request.hosts, policy.limit_burst / request.hosts);
+        bucket
+    }
+
+    /// Tokens that a request may reserve now.
+    fn available(&mut self, now: Ms, request: &Request, policy: &QosPolicy) -> f64 {
+        self.refilled(now, request, policy).available()
+    }
+
+    /// Reserves the tokens of a request, or says when the bucket holds them.
+    fn reserve(&mut self, now: Ms, request: &Request, policy: &QosPolicy) -> Result<(), Ms> {
+        let bucket = self.refilled(now, request, policy);
         if bucket.available() >= request.units {
             bucket.reserve(request.units);
             return Ok(());
         }
         let missing = request.units - bucket.available();
-        Err(now + (missing / rate * 1000.0).max(TIMER_TOLERANCE))
+        Err(now + covered_after(missing, request, policy))
     }
 
     /// Gives the tokens of a request back that leaves its queue unsent. Whether its volume is limited.
@@ -49,6 +59,12 @@
     }
 }
 
+/// How long it takes until a bucket holds the tokens that are missing for a request.
+fn covered_after(missing: f64, request: &Request, policy: &QosPolicy) -> Ms {
+    let rate = policy.limit_rate / request.hosts;
+    (missing / rate * 1000.0).max(TIMER_TOLERANCE)
+}
+
 impl Scheduler {
     /// Reserves the tokens of a request. From when on the rate limit allows it: now if they are reserved.
     pub(super) fn reserve_tokens(&mut self, now: Ms, id: usize) -> Option<Ms> {
@@ -63,9 +79,22 @@
                 pending.has_tokens = true;
                 Some(now)
             }
-            Err(at) => {
-                self.blocked.add_short_of_tokens(request.volume, id);
-                Some(at)
+            Err(covered_at) => Some(covered_at),
+        }
+    }
+
+    /// Has the requests checked again that free tokens of their volumes cover. The volumes whose tokens cover no more
+    /// are checked once they cover the smallest.
+    pub(super) fn wake_token_waiters(&mut self, now: Ms) {
+        for volume in self.blocked.due_token_checks(now + TIMER_TOLERANCE) {
+            let Some(smallest) = self.blocked.smallest_token_waiter(volume) else { continue };
+            let Some(pending) = self.requests.get(smallest.id) else { continue };
+            let request = &pending.request;
+            let policy = &self.config.policies[request.policy];
+            let available = self.rate_limits.available(now, request, policy);
+            if !self.blocked.wake_covered(volume, available) {
+                let check_at = now + covered_after(smallest.units - available, request, policy);
+                self.blocked.check_tokens_at(volume, check_at);
             }
         }
     }
--- a/src/structures/blocked_requests.rs
+++ b/src/structures/blocked_requests.rs
@@ -1,23 +1,25 @@
 //! Requests that may not enter a node's queue for now.
 
-use super::TimerQueue;
+use super::{TimerQueue, TokenWaiter, TokenWaiters};
 use crate::types::Ms;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Blocked requests by arrival: those of a shard that are to be checked again, those that name no shard,
-/// and sleeping ones, which wait for a time or to be woken.
+/// sleeping ones, which wait for a time or to be woken, and those that wait for tokens.
 #[derive(Default)]
 pub(crate) struct BlockedRequests {
     to_check: BTreeMap<u64, usize>,
     without_shard: BTreeMap<u64, usize>,
     sleeping: TimerQueue<(u64, usize)>,
-    short_of_tokens: BTreeMap<usize, BTreeSet<usize>>,
+    token_waiters: TokenWaiters,
 }
 
 impl BlockedRequests {
     /// Has a request checked again.
-    pub(crate) fn wake(&mut self, arrival: u64, id: usize, has_shard: bool) {
+    pub(crate) fn wake(&mut self, waiter: TokenWaiter, has_shard: bool) {
+        let TokenWaiter { volume, arrival, id, units } = waiter;
         self.sleeping.set((arrival, id), None);
+        self.token_waiters.remove(volume, arrival, units);
         let list = if has_shard { &mut self.to_check } else { &mut self.without_shard };
         list.insert(arrival, id);
     }
@@ -32,7 +34,8 @@
     pub(crate) fn wake_due(&mut self, now: Ms) {
         let due: Vec<(u64, usize)> = self.sleeping.due(now).collect();
         for (arrival, id) in due {
-            self.wake(arrival, id, true);
+            self.sleeping.set((arrival, id), None);
+            self.to_check.insert(arrival, id);
         }
     }
 
@@ -41,6 +44,11 @@
         self.to_check.pop_first().map(|(_, id)| id)
     }
 
+    /// Whether any request is to be checked.
+    pub(crate) fn has_any_to_check(&self) -> bool {
+        !self.to_check.is_empty()
+    }
+
     /// Requests that name no shard, in the order of arrival.
     pub(crate) fn without_shard(&self) -> impl Iterator<Item = usize> + '_ {
         self.without_shard.values().copied()
@@ -51,24 +59,39 @@
         !self.without_shard.is_empty()
     }
 
-    /// Records that the token bucket of its volume did not cover a request.
-    pub(crate) fn add_short_of_tokens(&mut self, volume: usize, id: usize) {
-        self.short_of_tokens.entry(volume).or_default().insert(id);
+    /// Leaves a request alone until its volume's bucket may cover it, at `covered_at` or once tokens are given back.
+    pub(crate) fn await_tokens(&mut self, waiter: TokenWaiter, covered_at: Ms) {
+        self.sleep(waiter.arrival, waiter.id, None);
+        self.token_waiters.add(waiter, covered_at);
     }
 
-    /// The requests of a volume that its token bucket did not cover.
-    pub(crate) fn short_of_tokens(&self, volume: usize) -> impl Iterator<Item = usize> + '_ {
-        self.short_of_tokens.get(&volume).into_iter().flatten().copied()
+    /// Has the requests checked that wait for tokens of a volume, at a time.
+    pub(crate) fn check_tokens_at(&mut self, volume: usize, at: Ms) {
+        self.token_waiters.check_at(volume, at);
+    }
+
+    /// The volumes whose waiting requests are to be checked by `now`.
+    pub(crate) fn due_token_checks(&self, now: Ms) -> Vec<usize> {
+        self.token_waiters.due_checks(now)
+    }
+
+    /// The request that waits for the fewest tokens of a volume.
+    pub(crate) fn smallest_token_waiter(&self, volume: usize) -> Option<TokenWaiter> {
+        self.token_waiters.smallest(volume)
+    }
+
+    /// Has the waiting requests of a volume checked again that `available` tokens cover; whether there are any.
+    pub(crate) fn wake_covered(&mut self, volume: usize, available: f64) -> bool {
+        let covered = self.token_waiters.take_covered(volume, available);
+        self.to_check.extend(covered.iter().map(|waiter| (waiter.arrival, waiter.id)));
+        !covered.is_empty()
     }
 
     /// Removes a request altogether.
-    pub(crate) fn remove(&mut self, arrival: u64, id: usize, volume: usize) {
+    pub(crate) fn remove(&mut self, waiter: TokenWaiter) {
+        let TokenWaiter { volume, arrival, id, units } = waiter;
         self.sleep(arrival, id, None);
         self.without_shard.remove(&arrival);
-        let Some(short) = self.short_of_tokens.get_mut(&volume) else { return };
-        short.remove(&id);
-        if short.is_empty() {
-            self.short_of_tokens.remove(&volume);
-        }
+        self.token_waiters.remove(volume, arrival, units);
     }
 }
--- a/src/structures/mod.rs
+++ b/src/structures/mod.rs
@@ -7,6 +7,7 @@
 mod rolling_window;
 mod timer_queue;
 mod token_bucket;
+mod token_waiters;
 mod total_order;
 
 pub(crate) use blocked_requests::BlockedRequests;
@@ -16,6 +17,7 @@
 pub(crate) use rolling_window::RollingWindow;
 pub(crate) use timer_queue::TimerQueue;
 pub(crate) use token_bucket::TokenBucket;
+pub(crate) use token_waiters::{TokenWaiter, TokenWaiters};
 pub(crate) use total_order::total_order_key;
 
 #[cfg(test)]
--- a/src/structures/tests.rs
+++ b/src/structures/tests.rs
@@ -67,4 +67,39 @@
         }
         true
     }
+
+    /// The model is one list in the order of arrival, from which each request takes what the earlier ones leave.
+    fn tokens_go_to_the_earliest_waiting_requests_that_they_cover(
+        waiting: Vec<(u8, u8)>,
+        available: Vec<u8>
+    ) -> bool {
+        let mut waiters = TokenWaiters::default();
+        let mut model: Vec<TokenWaiter> = Vec::new();
+        for (id, (volume, units)) in waiting.into_iter().enumerate() {
+            let (volume, units) = (usize::from(volume % 2), f64::from(units % 5) + 0.5);
+            let waiter = TokenWaiter { volume, arrival: id as u64 * 7 % 256, id, units };
+            model.retain(|other| (other.volume, other.arrival) != (volume, waiter.arrival));
+            (0..5).for_each(|units| waiters.remove(volume, waiter.arrival, f64::from(units) + 0.5));
+            waiters.add(waiter, 0.0);
+            model.push(waiter);
+        }
+        model.sort_by_key(|waiter| waiter.arrival);
+        available.into_iter().enumerate().all(|(volume, tokens)| {
+            let (volume, mut left) = (volume % 2, f64::from(tokens % 16));
+            let mut covered = Vec::new();
+            model.retain(|waiter| {
+                let takes = waiter.volume == volume && waiter.units <= left;
+                if takes {
+                    left -= waiter.units;
+                    covered.push(*waiter);
+                }
+                !takes
+            });
+            let of_volume = || model.iter().filter(|waiter| waiter.volume == volume);
+            let least = of_volume().map(|waiter| waiter.units).fold(f64::INFINITY, f64::min);
+            waiters.take_covered(volume, f64::from(tokens % 16)) == covered
+                && waiters.smallest(volume).map_or(f64::INFINITY, |waiter| waiter.units) == least
+                && waiters.due_checks(0.0).contains(&volume) == (least < f64::INFINITY)
+        })
+    }
 }
--- a/tests/scheduler/rate_limit.rs
+++ b/tests/scheduler/rate_limit.rs
@@ -2,6 +2,82 @@
 
 use crate::simulation::*;
 use magpiewick::*;
+use std::time::{Duration, Instant};
+
+/// Requests that have tokens of their volume and are queued.
+const WITH_TOKENS: usize = 300;
+/// By how much the work may grow when sixteen times as many wait for tokens.
+const MAX_GROWTH: f64 = 4.0;
+
+/// A host whose window is full, [`WITH_TOKENS`] queued requests of one volume, and as many as `waiting` that wait for
+/// its tokens and may do so for long.
+fn host_short_of_tokens(waiting: usize) -> Simulation {
+    let mut config = config();
+    config.classes[2].latency_objective = 100_000.0;
+    (config.policies[1].limit_rate, config.policies[1].limit_burst) = (1000.0, WITH_TOKENS as f64);
+    let mut simulation = Simulation::with_full_window(config);
+    simulation.now += 1000.0;
+    let limited = Request { policy: 1, ..request_of(5) };
+    let patient = Request { class: 2, client_timeout: 200_000.0, ..limited.clone() };
+    let requests = (0..WITH_TOKENS).map(|_| &limited).chain((0..waiting).map(|_| &patient));
+    for (id, request) in (simulation.requests.len()..).zip(requests) {
+        let decision = simulation.scheduler.route(simulation.now, id, request);
+        assert!(matches!(decision, RouteDecision::Queue));
+    }
+    simulation
+}
+
+/// Carries out all that is due, without the reference model; how many requests got their final answer.
+fn run_due(simulation: &mut Simulation) -> usize {
+    let mut finished = 0;
+    loop {
+        match simulation.scheduler.next_action(simulation.now) {
+            Action::Route(id) => {
+                let decision = simulation.scheduler.route(simulation.now, id, &request());
+                finished += usize::from(matches!(decision, RouteDecision::Finish(_)));
+            }
+            Action::WaitUntil(_) => return finished,
+            _ => {}
+        }
+    }
+}
+
+/// The shortest of several times that a step takes with so many requests that wait for tokens.
+fn shortest_time(waiting: usize, step: fn(&mut Simulation)) -> Duration {
+    let time_once = |_| {
+        let mut simulation = host_short_of_tokens(waiting);
+        let begin = Instant::now();
+        step(&mut simulation);
+        begin.elapsed()
+    };
+    (0..7).map(time_once).min().unwrap()
+}
+
+fn assert_independent_of_waiting_requests(step: fn(&mut Simulation)) {
+    let (few, many) = (shortest_time(300, step), shortest_time(4800, step));
+    let growth = many.as_secs_f64() / few.as_secs_f64();
+    assert!(growth < MAX_GROWTH, "{few:?} with 300 waiting requests, {many:?} with 4800");
+}
+
+/// Guards against a turn so long that answers are late, when many requests expire and give their tokens back.
+#[test]
+fn tokens_given_back_cost_the_same_however_many_requests_wait_for_them() {
+    assert_independent_of_waiting_requests(|simulation| {
+        simulation.now += 210.0;
+        assert!(run_due(simulation) >= WITH_TOKENS);
+    });
+}
+
+/// Guards against a host that is busy with requests over their rate limit.
+#[test]
+fn a_token_that_accrues_costs_the_same_however_many_requests_wait_for_it() {
+    assert_independent_of_waiting_requests(|simulation| {
+        for _ in 0..150 {
+            simulation.now += 1.0;
+            run_due(simulation);
+        }
+    });
+}
 
 #[test]
 fn a_token_bucket_is_empty_when_the_host_starts() {
