Scan a node's queue once, not once for each request that expires

What callers would see: late answers after a stall of a host. Cause: next_to_dispatch runs before each expiry, and where the node has a free slot and all that is queued has expired it finds nothing each time: work in the square of the queue. Change: the node keeps the conditions of a scan that found nothing, until a request is added to its queue or the endpoint list changes. More requests expire as time passes, so the result stays right.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -1,7 +1,7 @@
 //! When a queued request leaves to its node, alone or in a batch.
 
 use super::in_flight::InFlightAttempt;
-use super::node::Node;
+use super::node::{FruitlessScan, Node};
 use super::pending_request::{PendingRequest, RequestState, UncertainAttempt};
 use super::unloaded_latency::relative_duration;
 use super::Scheduler;
@@ -48,10 +48,15 @@
             best_priority_weight: priority_weights.fold(0.0, f64::max),
             allows_retry: self.retry_budget_allows(now),
         };
-        let mut queued = self.nodes.get(index)?.queue.requests();
-        queued.find(|id| {
+        let scan = FruitlessScan { now, accepts, allows_retry: conditions.allows_retry };
+        let node = self.nodes.get(index).filter(|node| node.fruitless_scan != Some(scan))?;
+        let first = node.queue.requests().find(|id| {
             self.requests.get(*id).is_some_and(|pending| self.may_leave(now, pending, index, &conditions))
-        })
+        });
+        if let (None, Some(node)) = (first, self.nodes.get_mut(index)) {
+            node.fruitless_scan = Some(scan);
+        }
+        first
     }
 
     fn may_leave(
--- a/src/scheduler/node.rs
+++ b/src/scheduler/node.rs
@@ -9,10 +9,21 @@
 use crate::types::{Endpoint, EndpointState, Ms};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The conditions under which no queued request could leave. More requests expire as time passes, so the result holds
+/// until a request is added.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct FruitlessScan {
+    pub now: Ms,
+    pub accepts: bool,
+    pub allows_retry: bool,
+}
+
 /// A storage node: its queue, what is in flight there, and what is known of its load and health.
 pub(super) struct Node {
     pub endpoint: Endpoint,
     pub queue: FairQueue,
+    /// The last scan of the queue, if it found no request that may leave and none was added since.
+    pub fruitless_scan: Option<FruitlessScan>,
     pub in_flight: InFlightAttempts,
     pub window: ConcurrencyWindow,
     pub health: EndpointHealth,
@@ -27,6 +38,7 @@
         Node {
             endpoint: Endpoint::default(),
             queue: FairQueue::default(),
+            fruitless_scan: None,
             in_flight: InFlightAttempts::new(DOUBTFUL_AFTER),
             window: ConcurrencyWindow::new(latency_objective, has_gossip),
             health: EndpointHealth::new(),
@@ -149,7 +161,8 @@
             slot.take_if(is_over);
         }
         self.by_shard.clear();
-        for node in self.slots.iter().flatten() {
+        for node in self.slots.iter_mut().flatten() {
+            node.fruitless_scan = None;
             self.by_shard.entry(node.endpoint.shard).or_default().push(node.endpoint.node);
         }
         for index in 0..self.slots.len() {
--- a/src/scheduler/queueing.rs
+++ b/src/scheduler/queueing.rs
@@ -90,6 +90,7 @@
             node.window.await_turn(now, self.rng.fraction());
         }
         let tag = node.queue.enqueue(now, &entry, &bounds);
+        node.fruitless_scan = None;
         self.unblock(id);
         if let Some(pending) = self.requests.get_mut(id) {
             self.sequence += 1;
--- a/tests/scheduler/admission.rs
+++ b/tests/scheduler/admission.rs
@@ -58,3 +58,38 @@
     let first: Vec<usize> = simulation.dispatch_order(&all).into_iter().take(10).collect();
     assert_eq!(first.iter().filter(|id| surging.contains(id)).count(), 5, "{first:?}");
 }
+
+/// A host that stalls until so many queued requests have expired, while its window becomes free; how long it takes to
+/// end one of them.
+fn time_to_end_an_expired_request(queued: usize) -> f64 {
+    let stalled_host = || {
+        let mut simulation = Simulation::with_full_window(config());
+        for id in simulation.requests.len()..simulation.requests.len() + queued {
+            let decision = simulation.scheduler.route(simulation.now, id, &request_of(id % 7));
+            assert!(matches!(decision, RouteDecision::Queue));
+        }
+        simulation.now += 250.0;
+        simulation
+    };
+    let wake_up = |simulation: &mut Simulation| {
+        let answer = Answer {
+            outcome: Outcome::Succeeded,
+            latency: 250.0,
+            request_over: true,
+            volume_usage: None,
+            remote_units: 0.0,
+        };
+        for id in 0..simulation.requests.len() {
+            simulation.scheduler.on_outcome(simulation.now, id, &answer);
+        }
+        assert_eq!(simulation.run_due(), queued);
+    };
+    shortest_time(stalled_host, wake_up).as_secs_f64() / queued as f64
+}
+
+/// Guards against a turn so long after a stall that answers are late.
+#[test]
+fn each_of_many_requests_that_expire_together_costs_the_same() {
+    let (few, many) = (time_to_end_an_expired_request(300), time_to_end_an_expired_request(4800));
+    assert!(many < 4.0 * few, "{few:e} s for each of 300 requests, {many:e} s for each of 4800");
+}
--- a/tests/scheduler/rate_limit.rs
+++ b/tests/scheduler/rate_limit.rs
@@ -2,7 +2,6 @@
 
 use crate::simulation::*;
 use magpiewick::*;
-use std::time::{Duration, Instant};
 
 /// Requests that have tokens of their volume and are queued.
 const WITH_TOKENS: usize = 300;
@@ -27,34 +26,9 @@
     simulation
 }
 
-/// Carries out all that is due, without the reference model; how many requests got their final answer.
-fn run_due(simulation: &mut Simulation) -> usize {
-    let mut finished = 0;
-    loop {
-        match simulation.scheduler.next_action(simulation.now) {
-            Action::Route(id) => {
-                let decision = simulation.scheduler.route(simulation.now, id, &request());
-                finished += usize::from(matches!(decision, RouteDecision::Finish(_)));
-            }
-            Action::WaitUntil(_) => return finished,
-            _ => {}
-        }
-    }
-}
-
-/// The shortest of several times that a step takes with so many requests that wait for tokens.
-fn shortest_time(waiting: usize, step: fn(&mut Simulation)) -> Duration {
-    let time_once = |_| {
-        let mut simulation = host_short_of_tokens(waiting);
-        let begin = Instant::now();
-        step(&mut simulation);
-        begin.elapsed()
-    };
-    (0..7).map(time_once).min().unwrap()
-}
-
 fn assert_independent_of_waiting_requests(step: fn(&mut Simulation)) {
-    let (few, many) = (shortest_time(300, step), shortest_time(4800, step));
+    let time = |waiting| shortest_time(|| host_short_of_tokens(waiting), step);
+    let (few, many) = (time(300), time(4800));
     let growth = many.as_secs_f64() / few.as_secs_f64();
     assert!(growth < MAX_GROWTH, "{few:?} with 300 waiting requests, {many:?} with 4800");
 }
@@ -64,7 +38,7 @@
 fn tokens_given_back_cost_the_same_however_many_requests_wait_for_them() {
     assert_independent_of_waiting_requests(|simulation| {
         simulation.now += 210.0;
-        assert!(run_due(simulation) >= WITH_TOKENS);
+        assert!(simulation.run_due() >= WITH_TOKENS);
     });
 }
 
@@ -74,7 +48,7 @@
     assert_independent_of_waiting_requests(|simulation| {
         for _ in 0..150 {
             simulation.now += 1.0;
-            run_due(simulation);
+            simulation.run_due();
         }
     });
 }
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -3,6 +3,7 @@
 
 use magpiewick::*;
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 const ROUND: Ms = 2.0;
 const HOSTS: f64 = 2.0;
@@ -379,6 +380,21 @@
         panic!("the scheduler names no time to wait until");
     }
 
+    /// Carries out all that is due without a look at the reference model; how many requests got their final answer.
+    pub(crate) fn run_due(&mut self) -> usize {
+        let mut finished = 0;
+        loop {
+            match self.scheduler.next_action(self.now) {
+                Action::Route(id) => {
+                    let decision = self.scheduler.route(self.now, id, &request());
+                    finished += usize::from(matches!(decision, RouteDecision::Finish(_)));
+                }
+                Action::WaitUntil(_) => return finished,
+                _ => {}
+            }
+        }
+    }
+
     /// Lets time advance, with cancellations and time-outs, and checks that no answer is overdue.
     pub(crate) fn advance(&mut self, time: Ms) {
         let end = self.now + time;
@@ -402,3 +418,14 @@
         }
     }
 }
+
+/// The shortest of several times that a step takes, each on a simulation of its own.
+pub(crate) fn shortest_time(simulation: impl Fn() -> Simulation, step: impl Fn(&mut Simulation)) -> Duration {
+    let time_once = |_| {
+        let mut simulation = simulation();
+        let begin = Instant::now();
+        step(&mut simulation);
+        begin.elapsed()
+    };
+    (0..7).map(time_once).min().unwrap_or_default()
+}
