Know client retries by the timeouts of calm times when they outnumber the rest

Cause: a shorter client timeout marks a retry only where a tenth of the requests have the longest. In the storm first sends were 97 beside 3,681 retries in a quarter of a second, so each retry counted as new and got its whole latency objective again. Change: TimeoutStatistics keeps, beside the running counts, those of requests that came while at most 5% ended unserved (chosen), and judges by these while more do, once 50 were counted (chosen). A longer timeout starts both anew.

--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -14,6 +14,10 @@
 const COMMON_TIMEOUT_PART: f64 = 0.1;
 /// How much of what was counted before stays with each request.
 const TIMEOUT_COUNT_DECAY: f64 = 0.995;
+/// Up to this part of requests that end unserved, few of those that come are retries of them.
+const CALM_UNSERVED_PART: f64 = 0.05;
+/// Requests that must have come while few ended unserved before these speak for all.
+const MIN_CALM_REQUESTS: f64 = 50.0;
 /// By how much timeouts may differ that count as the same.
 const TIMEOUT_TOLERANCE: Ms = 1.0;
 /// The part of the longest retry-after over which rejected clients are spread.
@@ -21,26 +25,68 @@
 /// Rounds of the caller before the client's deadline by which attempts must be over.
 const DEADLINE_ROUNDS: f64 = 2.0;
 
+/// How many of some requests have a property; earlier ones count less and less.
+#[derive(Clone, Copy, Default)]
+struct DecayingCount {
+    matching: f64,
+    all: f64,
+}
+
+impl DecayingCount {
+    fn add(&mut self, matches: bool) {
+        self.all = self.all * TIMEOUT_COUNT_DECAY + 1.0;
+        self.matching = self.matching * TIMEOUT_COUNT_DECAY + f64::from(matches);
+    }
+
+    /// Counts one that has the property after all, though it was added without it.
+    fn add_matching(&mut self) {
+        self.matching += 1.0;
+    }
+
+    fn is_at_least(&self, part: f64) -> bool {
+        self.matching >= part * self.all
+    }
+
+    fn exceeds(&self, part: f64) -> bool {
+        self.matching > part * self.all
+    }
+}
+
 /// The client timeouts of the requests of one class and QoS policy.
 #[derive(Clone, Default)]
 struct TimeoutStatistics {
     longest: Ms,
-    with_longest: f64,
-    all: f64,
+    /// Requests with the longest timeout.
+    with_longest: DecayingCount,
+    /// The same among those that came while few ended unserved.
+    with_longest_when_calm: DecayingCount,
+    /// Requests that ended unserved.
+    unserved: DecayingCount,
 }
 
 impl TimeoutStatistics {
     /// How much of its timeout a request has spent before it came: it is a client's retry, or waited for a
     /// stalled host. Where few requests have the longest timeout, timeouts are of many lengths, and a
-    /// shorter one is no sign.
+    /// shorter one is no sign. Where many end unserved, retries outnumber first requests: then the lengths
+    /// count that were seen before. Guards against work on requests past their latency objective in a retry
+    /// storm; it may hurt clients that change to shorter timeouts within one.
     fn time_spent(&mut self, client_timeout: Ms) -> Ms {
         if client_timeout > self.longest + TIMEOUT_TOLERANCE {
-            *self = TimeoutStatistics { longest: client_timeout, ..TimeoutStatistics::default() };
+            let unserved = self.unserved;
+            *self = TimeoutStatistics { longest: client_timeout, unserved, ..TimeoutStatistics::default() };
         }
         let has_longest = client_timeout > self.longest - TIMEOUT_TOLERANCE;
-        self.all = self.all * TIMEOUT_COUNT_DECAY + 1.0;
-        self.with_longest = self.with_longest * TIMEOUT_COUNT_DECAY + f64::from(has_longest);
-        if self.with_longest >= COMMON_TIMEOUT_PART * self.all {
+        let is_calm = !self.unserved.exceeds(CALM_UNSERVED_PART);
+        self.unserved.add(false);
+        self.with_longest.add(has_longest);
+        if is_calm {
+            self.with_longest_when_calm.add(has_longest);
+        }
+        let counts = match is_calm || self.with_longest_when_calm.all < MIN_CALM_REQUESTS {
+            true => self.with_longest,
+            false => self.with_longest_when_calm,
+        };
+        if counts.is_at_least(COMMON_TIMEOUT_PART) {
             self.longest - client_timeout
         } else {
             0.0
@@ -63,8 +109,16 @@
     }
 
     fn time_spent(&mut self, request: &Request) -> Ms {
-        let index = request.class * self.policies + request.policy;
-        self.statistics[index].time_spent(request.client_timeout)
+        self.statistics_of(request).time_spent(request.client_timeout)
+    }
+
+    /// A request ended unserved: its client may retry it.
+    fn on_unserved(&mut self, request: &Request) {
+        self.statistics_of(request).unserved.add_matching();
+    }
+
+    fn statistics_of(&mut self, request: &Request) -> &mut TimeoutStatistics {
+        &mut self.statistics[request.class * self.policies + request.policy]
     }
 }
 
@@ -141,6 +195,7 @@
     pub(super) fn reject_or_fail(&mut self, now: Ms, id: usize) -> FinalStatus {
         self.dequeue(id);
         let Some(pending) = self.requests.get(id) else { return FinalStatus::Failed };
+        self.client_timeouts.on_unserved(&pending.request);
         let class = &self.config.classes[pending.request.class];
         let may_be_repeated = is_repeatable_anywhere(class) || pending.uncertain_attempt.is_none();
         let time_left = (pending.deadline - now).max(0.0);
--- a/tests/scheduler/admission.rs
+++ b/tests/scheduler/admission.rs
@@ -49,6 +49,48 @@
     assert_eq!(simulation.requests[id].completion, None);
 }
 
+/// Clients send requests of a volume that are served, all with the timeout that they always have.
+fn serve_calmly(simulation: &mut Simulation, count: usize) {
+    for _ in 0..count {
+        let id = simulation.submit(request_of(1));
+        simulation.outcome(id, Outcome::Succeeded);
+        simulation.advance(10.0);
+    }
+}
+
+/// Clients retry requests that they first sent half a second ago; how many of them are queued all the same.
+fn queued_late_retries(simulation: &mut Simulation, count: usize) -> usize {
+    let retry = Request { client_timeout: 2500.0, ..request_of(1) };
+    let retries = simulation.submit_all(count, &retry);
+    retries.into_iter().filter(|id| simulation.requests[*id].completion.is_none()).count()
+}
+
+/// Guards against a node that comes back and works on requests past their latency objective.
+#[test]
+fn client_retries_are_recognised_when_they_outnumber_first_requests() {
+    let mut simulation = Simulation::new(config());
+    serve_calmly(&mut simulation, 100);
+    simulation.fill_window_with(&request_of(9));
+    assert_eq!(queued_late_retries(&mut simulation, 1000), 0);
+    let first_request = simulation.submit(request_of(1));
+    assert_eq!(simulation.requests[first_request].completion, None);
+    let early_retry = simulation.submit(Request { client_timeout: 2950.0, ..request_of(1) });
+    assert_eq!(simulation.requests[early_retry].completion, None);
+}
+
+/// Guards against one request with a long timeout for which all others are rejected.
+#[test]
+fn a_longer_client_timeout_in_an_overload_does_not_make_others_retries() {
+    let mut simulation = Simulation::new(config());
+    serve_calmly(&mut simulation, 100);
+    simulation.fill_window_with(&request_of(9));
+    queued_late_retries(&mut simulation, 1000);
+    simulation.submit(Request { client_timeout: 9000.0, ..request_of(1) });
+    simulation.submit_all(20, &request_of(1));
+    let usual = simulation.submit(request_of(1));
+    assert_eq!(simulation.requests[usual].completion, None);
+}
+
 #[test]
 fn a_surging_volume_keeps_its_reserve() {
     let mut simulation = Simulation::with_full_window(config());
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -227,6 +227,16 @@
         }
     }
 
+    /// Submits requests of a kind to the first node until one is not sent; none of them is ever answered.
+    pub(crate) fn fill_window_with(&mut self, request: &Request) {
+        loop {
+            let id = self.submit(request.clone());
+            if self.attempts(id) == 0 {
+                return self.disconnect(id);
+            }
+        }
+    }
+
     /// Submits several requests of a kind; their indices.
     pub(crate) fn submit_all(&mut self, count: usize, request: &Request) -> Vec<usize> {
         (0..count).map(|_| self.submit(request.clone())).collect()
