Evict a client for a descriptor only where the process has about all it may

What callers saw: with every fourth accept4 and socket failing with EMFILE, of eight clients with 40 requests each one got 12 answers, one 1, six none: their connections were closed between and under requests. Cause: out_of_descriptors (EMFILE, ENFILE) was followed by evict_client whatever the process had open; a full table of the system is not helped by it at all. Evidence: syscall_faults::calls_that_fail_by_chance_evict_no_client_and_lose_no_request on the code before: answers [0, 0, 0, 0, 0, 0, 12, 1] of 40 each; with ENFILE, ENOBUFS and ENOMEM it did not get that far. Change: eviction needs EMFILE and 0.9 (chosen: connections and 20 reserved do not count all) of the descriptors that settings and system allow, by the host's own count. Else an attempt waits its backoff, or its request is rejected. Measured: the test passes for EMFILE, ENFILE, and ENOBUFS with ENOMEM; the tests of real exhaustion pass unchanged (10 of 10 in resource_limits and syscall_faults).

--- a/crates/cli/tests/platform/syscall_faults.rs
+++ b/crates/cli/tests/platform/syscall_faults.rs
@@ -13,6 +13,9 @@
 const EADDRNOTAVAIL: i32 = 99;
 const EPROTO: i32 = 71;
 const EINTR: i32 = 4;
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+const ENOMEM: i32 = 12;
 
 /// Sends requests over new connections; how many were served.
 fn served_count(cluster: &TestCluster, requests: usize) -> usize {
@@ -75,3 +78,35 @@
         assert!(!idle.is_closed(), "errno {errno}");
     }
 }
+
+/// Guards against clients that are evicted for descriptors of which there are plenty.
+#[test]
+fn calls_that_fail_by_chance_evict_no_client_and_lose_no_request() {
+    for (accept, socket) in [(EMFILE, EMFILE), (ENFILE, ENFILE), (ENOBUFS, ENOMEM)] {
+        let faults = format!("accept4={accept}/4,socket={socket}/4");
+        let cluster = TestCluster::with_syscall_faults(2, &faults);
+        cluster.nodes.iter().for_each(|node| node.set_default(Behaviour::WriteThenClose(OK_RESPONSE)));
+        let mut open: Vec<(HttpClient, usize)> = Vec::new();
+        // A client whose first connection failed, as its accept did, is none of those that must stay connected.
+        while open.len() < 8 {
+            let (mut client, id) = (cluster.client(), format!("first-{}", open.len()));
+            if client.request(&request_bytes(&id, "read", 0, 2900)).is_some() {
+                open.push((client, 0));
+            }
+        }
+        for round in 0..40 {
+            // Other clients come and go meanwhile.
+            _ = HttpClient::connect(cluster.host_address);
+            for (number, (client, answers)) in open.iter_mut().enumerate() {
+                let id = format!("r{round}-{number}");
+                let answer = client.request(&request_bytes(&id, "read", round % 2, 2900));
+                *answers += usize::from(answer.is_some_and(|answer| matches!(answer.status(), 200 | 503)));
+            }
+        }
+        let answers: Vec<usize> = open.iter().map(|(_, answers)| *answers).collect();
+        assert_eq!(
+            answers, [40; 8],
+            "accept4 {accept}, socket {socket}: answers to 40 requests of each client"
+        );
+    }
+}
--- a/crates/platform/src/client_policy.rs
+++ b/crates/platform/src/client_policy.rs
@@ -23,6 +23,8 @@
 const NEWCOMER_MS: Ms = 300.0;
 /// The share of the available descriptors that clients may have.
 const CLIENT_SHARE: f64 = 0.6;
+/// The share of the descriptors from which on a process may have none left: it does not count all that it has.
+const EXHAUSTED_SHARE: f64 = 0.9;
 /// The share of all descriptors up to which clients open connections for requests, and the share of that which
 /// clients may keep that have sent a request: those that send one and stay would otherwise leave no room.
 const ACTIVE_CLIENT_SHARE: f64 = 1.0 / 3.0;
@@ -48,6 +50,11 @@
     }
 }
 
+/// Whether a process that counts so many descriptors has about as many as it may.
+pub(crate) fn has_all_descriptors(counted: usize, limit: usize) -> bool {
+    counted as f64 >= limit as f64 * EXHAUSTED_SHARE
+}
+
 /// A client's connection, as far as eviction is concerned.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct EvictionCandidate {
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -13,7 +13,7 @@
 use crate::signals::SignalSource;
 use magpiewick::{EndpointUpdate, Ms, Step, Target};
 use magpiewick_engine::Engine;
-use magpiewick_transport::{out_of_descriptors, Clock, Poll, Woken};
+use magpiewick_transport::{Clock, Poll, Woken};
 use std::io;
 use std::path::Path;
 
@@ -248,7 +248,7 @@
                 Accepted::ConnectionFailed => {}
                 Accepted::NoneWaiting => return true,
                 // The new client takes the place of another.
-                Accepted::OutOfDescriptors(_) if self.proxy.evict_client() => {}
+                Accepted::OutOfDescriptors(error) if self.proxy.evict_client_for_descriptor(&error) => {}
                 Accepted::OutOfDescriptors(error) | Accepted::OutOfResources(error) => {
                     self.listener.pause(self.proxy.now());
                     self.proxy.log_accept_paused(&error);
@@ -347,7 +347,7 @@
     fn start_poll(&mut self, poll: u64, target: Target) {
         self.discovery.begin_poll(self.proxy.now(), poll, target);
         let opened = match self.discovery.open_connection(self.proxy.reactor_mut()) {
-            Err(error) if out_of_descriptors(&error) && self.proxy.evict_client() => {
+            Err(error) if self.proxy.evict_client_for_descriptor(&error) => {
                 self.discovery.open_connection(self.proxy.reactor_mut())
             }
             opened => opened,
--- a/crates/platform/src/proxy.rs
+++ b/crates/platform/src/proxy.rs
@@ -26,6 +26,7 @@
 use magpiewick_engine::Reason;
 use magpiewick_http1::OutgoingResponse;
 use magpiewick_instance_settings::PlatformSettings;
+use magpiewick_transport::descriptor_limit;
 use std::io;
 
 /// Descriptors that are neither for clients nor for endpoints: the standard ones, the poller's, signals, the listener,
@@ -42,6 +43,8 @@
     upstreams: UpstreamPool,
     shutdown: GracefulShutdown,
     memory_limit: MemoryLimit,
+    /// Descriptors that the process may have.
+    max_descriptors: usize,
     metrics: Metrics,
     log: RequestLog,
     /// Outcomes that the engine has to be told.
@@ -64,6 +67,7 @@
             upstreams: UpstreamPool::new(limits.upstreams, settings.connect_timeout, settings.idle_timeout),
             shutdown: GracefulShutdown::new(longest),
             memory_limit: MemoryLimit::new(config.memory_mb),
+            max_descriptors: config.sockets.min(descriptor_limit()),
             metrics: Metrics::default(),
             log: RequestLog::default(),
             pending_outcomes: Vec::new(),
--- a/crates/platform/src/proxy/clients.rs
+++ b/crates/platform/src/proxy/clients.rs
@@ -1,8 +1,8 @@
 //! The side of the clients: connections, their requests and their responses.
 
-use super::Proxy;
+use super::{Proxy, RESERVED_DESCRIPTORS};
 use crate::client_connection::{FlushEvent as ClientFlushEvent, InputEvent, QueueEvent};
-use crate::client_policy::{EvictionCandidate, TimeoutAction};
+use crate::client_policy::{self, EvictionCandidate, TimeoutAction};
 use crate::client_pool::DisconnectCheck;
 use crate::endpoint_discovery::EndpointDiscovery;
 use crate::incoming_request;
@@ -12,6 +12,8 @@
 use magpiewick::Ms;
 use magpiewick_engine::IncomingRequest;
 use magpiewick_http1::{self as http1, CompleteRequest, OutgoingResponse, Rejection, RequestHead};
+use magpiewick_transport::out_of_own_descriptors;
+use std::io;
 use std::net::TcpStream;
 
 /// The response to a client that began a request and did not complete it.
@@ -50,6 +52,14 @@
         self.evict_client_where(|_| true)
     }
 
+    /// Closes the connection of the client that is best spared where a call failed for want of a descriptor and the
+    /// process has about as many as it may. A call that fails by chance costs no client its connection.
+    pub(crate) fn evict_client_for_descriptor(&mut self, error: &io::Error) -> bool {
+        let descriptors = self.reactor.connection_count() + RESERVED_DESCRIPTORS;
+        let has_all = client_policy::has_all_descriptors(descriptors, self.max_descriptors);
+        out_of_own_descriptors(error) && has_all && self.evict_client()
+    }
+
     fn evict_client_where(&mut self, of: impl Fn(&EvictionCandidate) -> bool) -> bool {
         let Some(key) = self.clients.select_for_eviction(self.reactor.now(), of) else { return false };
         self.metrics.clients_evicted += 1;
--- a/crates/platform/src/proxy/upstreams.rs
+++ b/crates/platform/src/proxy/upstreams.rs
@@ -15,7 +15,7 @@
 use crate::wall_clock::unix_time;
 use magpiewick::{Endpoint, Ms, Outcome};
 use magpiewick_exchange::{ReceivedResponse, ResponseMismatch};
-use magpiewick_transport::{out_of_descriptors, reach, Reach};
+use magpiewick_transport::{reach, Reach};
 use std::net::SocketAddr;
 
 impl Proxy {
@@ -132,7 +132,7 @@
         }
         let serial = self.reactor.next_serial();
         let opened = match self.upstreams.connect(&mut self.reactor, endpoint, address, serial) {
-            Err(error) if out_of_descriptors(&error) && self.evict_client() => {
+            Err(error) if self.evict_client_for_descriptor(&error) => {
                 self.upstreams.connect(&mut self.reactor, endpoint, address, serial)
             }
             opened => opened,
--- a/crates/transport/src/errors.rs
+++ b/crates/transport/src/errors.rs
@@ -26,10 +26,22 @@
 }
 
 /// Whether a call failed because no descriptor was left.
-pub fn out_of_descriptors(error: &io::Error) -> bool {
+fn out_of_descriptors(error: &io::Error) -> bool {
     matches!(errno(error), Some(Errno::MFILE | Errno::NFILE))
 }
 
+/// Whether a call failed because this process has as many descriptors as it may. Where the system has none left at
+/// all, closing one of this process frees it for any other.
+pub fn out_of_own_descriptors(error: &io::Error) -> bool {
+    errno(error) == Some(Errno::MFILE)
+}
+
+/// How many descriptors the system allows this process.
+pub fn descriptor_limit() -> usize {
+    use rustix::process::{getrlimit, Resource};
+    getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize)
+}
+
 /// Whose fault it is that a connection could not be begun, or broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,7 +9,7 @@
 mod timers;
 
 pub use connection::{Connection, Withdrawn, NOTHING};
-pub use errors::{accept_error, out_of_descriptors, reach, AcceptError, Reach};
+pub use errors::{accept_error, descriptor_limit, out_of_own_descriptors, reach, AcceptError, Reach};
 pub use loop_delay::LoopDelay;
 pub use poll::{Poll, Registered, Woken};
 pub use stream::{Ended, Stream};
