Try to accept again at once after a refusal by chance, and pause only after several

Cause: each refusal of the system paused the listener for 50 ms at once, so that a crowd was accepted four connections at a time; requests on connections that wait in the queue count as received. Change: AcceptBackoff of the engine tries again at once after up to three refusals in a row, then pauses for 2 ms, doubled up to 50 ms (chosen; the longest as before). At the planned end the queue is accepted on after a refusal, within its 64 turns. Tests: syscall_faults::clients_behind_a_crowd_are_accepted_soon_though_accepts_fail_by_chance, red before with 2.55 s where 0.9 s is the bound; two of AcceptBackoff. The test that exhausted descriptors make no host spin passes unchanged.

--- a/crates/cli/tests/platform/syscall_faults.rs
+++ b/crates/cli/tests/platform/syscall_faults.rs
@@ -4,7 +4,8 @@
 use crate::support::http_message::{assert_served, request_bytes};
 use crate::support::node::{Behaviour, OK_RESPONSE};
 use crate::support::test_cluster::TestCluster;
-use std::time::Duration;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 const ENETUNREACH: i32 = 101;
 const ECONNABORTED: i32 = 103;
@@ -110,3 +111,23 @@
         );
     }
 }
+
+/// Guards against clients that wait for seconds behind a crowd, as each failed accept delays all of it.
+#[test]
+fn clients_behind_a_crowd_are_accepted_soon_though_accepts_fail_by_chance() {
+    for errno in [EMFILE, ENFILE, ENOBUFS] {
+        let cluster = TestCluster::with_syscall_faults(1, &format!("accept4={errno}/4"));
+        let crowd: Vec<TcpStream> =
+            (0..200).map_while(|_| TcpStream::connect(cluster.host_address).ok()).collect();
+        let mut clients: Vec<HttpClient> = (0..4).map(|_| cluster.client()).collect();
+        let sent = Instant::now();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&request_bytes(&format!("r{number}"), "read", 0, 900));
+        }
+        // One of the four connections fails with its accept.
+        let answers = clients.iter_mut().filter_map(HttpClient::receive).count();
+        assert!(answers >= 3, "errno {errno}: {answers} answers");
+        assert!(sent.elapsed() < Duration::from_millis(900), "errno {errno}: {:?}", sent.elapsed());
+        assert_eq!(crowd.len(), 200);
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Ids of requests, nodes, volumes and keys are the driver's own; a request's id must never be used again.
 
+mod accept_backoff;
 mod engine;
 mod environment;
 mod id_table;
@@ -14,6 +15,7 @@
 mod pending_request;
 mod stall_detector;
 
+pub use accept_backoff::AcceptBackoff;
 pub use engine::{Engine, IncomingRequest};
 pub use environment::{AttemptRef, Environment, Reason};
 pub use stall_detector::StallDetector;
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -31,6 +31,15 @@
 /// When a host is ready that knows no endpoint list and that discovery does not answer.
 const READY_WITHOUT_LIST_MS: Ms = 1500.0;
 
+/// What a turn of accepting connections came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AcceptTurn {
+    /// No connection is waiting.
+    NoneLeft,
+    /// Connections may be waiting.
+    SomeLeft,
+}
+
 /// A running host.
 pub(crate) struct EventLoop {
     engine: Engine,
@@ -240,23 +249,24 @@
 
 /// Clients.
 impl EventLoop {
-    /// Accepts some of the connections that are waiting; whether none is left.
-    fn accept(&mut self) -> bool {
+    /// Accepts some of the connections that are waiting.
+    fn accept(&mut self) -> AcceptTurn {
         for _ in 0..ACCEPTS_PER_TURN {
             match self.listener.accept() {
                 Accepted::Connection(stream) => self.proxy.accept_client(stream),
                 Accepted::ConnectionFailed => {}
-                Accepted::NoneWaiting => return true,
+                Accepted::NoneWaiting => return AcceptTurn::NoneLeft,
                 // The new client takes the place of another.
                 Accepted::OutOfDescriptors(error) if self.proxy.evict_client_for_descriptor(&error) => {}
                 Accepted::OutOfDescriptors(error) | Accepted::OutOfResources(error) => {
-                    self.listener.pause(self.proxy.now());
-                    self.proxy.log_accept_paused(&error);
-                    return true;
+                    if self.listener.on_refused(self.proxy.now()) {
+                        self.proxy.log_accept_paused(&error);
+                        return AcceptTurn::SomeLeft;
+                    }
                 }
             }
         }
-        false
+        AcceptTurn::SomeLeft
     }
 
     fn on_client_event(&mut self, key: ConnectionKey, event: ClientEvent) {
@@ -414,7 +424,7 @@
     fn close(&mut self) {
         // Those that the system has accepted for this host already are its own.
         for _ in 0..MAX_ACCEPT_TURNS_AT_CLOSE {
-            if self.accept() {
+            if self.accept() == AcceptTurn::NoneLeft {
                 break;
             }
         }
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -1,13 +1,11 @@
 //! The socket on which clients connect.
 
 use magpiewick::Ms;
+use magpiewick_engine::AcceptBackoff;
 use magpiewick_transport::{accept_error, AcceptError, Poll, Registered};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
-/// How long nothing is accepted after the system has refused: without a pause the event loop would spin.
-const ACCEPT_PAUSE_MS: Ms = 50.0;
-
 /// What came of accepting one connection.
 #[derive(Debug)]
 pub(crate) enum Accepted {
@@ -27,22 +25,29 @@
 pub(crate) struct Listener {
     socket: Option<Registered<TcpListener>>,
     resumes_at: Ms,
+    backoff: AcceptBackoff,
 }
 
 impl Listener {
     /// Listens on an address.
     pub(crate) fn bind(poll: &Poll, key: usize, address: SocketAddr, now: Ms) -> io::Result<Listener> {
         let socket = poll.register(magpiewick_transport::listen(address)?, key)?;
-        Ok(Listener { socket: Some(socket), resumes_at: now })
+        Ok(Listener { socket: Some(socket), resumes_at: now, backoff: AcceptBackoff::default() })
     }
 
     /// Accepts a connection that is waiting.
     pub(crate) fn accept(&mut self) -> Accepted {
         let Some(socket) = &mut self.socket else { return Accepted::NoneWaiting };
         match socket.accept() {
-            Ok((stream, _)) => Accepted::Connection(stream),
+            Ok((stream, _)) => {
+                self.backoff.reset();
+                Accepted::Connection(stream)
+            }
             Err(error) => match accept_error(&error) {
-                AcceptError::Empty => Accepted::NoneWaiting,
+                AcceptError::Empty => {
+                    self.backoff.reset();
+                    Accepted::NoneWaiting
+                }
                 AcceptError::Next => Accepted::ConnectionFailed,
                 AcceptError::OutOfDescriptors => Accepted::OutOfDescriptors(error),
                 AcceptError::Short => Accepted::OutOfResources(error),
@@ -50,12 +55,15 @@
         }
     }
 
-    /// Accepts nothing for a while.
-    pub(crate) fn pause(&mut self, now: Ms) {
-        self.resumes_at = now + ACCEPT_PAUSE_MS;
+    /// The system refused to accept a connection. Accepts nothing for a while if it has done so several times in a row;
+    /// whether it does.
+    pub(crate) fn on_refused(&mut self, now: Ms) -> bool {
+        let Some(pause) = self.backoff.next_pause() else { return false };
+        self.resumes_at = now + pause;
         if let Some(socket) = &mut self.socket {
             _ = socket.watch(false, false);
         }
+        true
     }
 
     /// Accepts again once a pause is over.
