Soak: responses that are alike, and hosts whose system calls fail

In half of the seeds accept4, socket or connect of the hosts fail with EMFILE, ENFILE, ENOBUFS or EINTR. Earlier draws of a seed stay as they were. Where responses are alike, copies are at most 25 ms late: one that is later than connections are idle, 100 ms, cannot be told the first time, see docs/incidents/alike-responses.md.

--- a/crates/cli/tests/soak/run_config.rs
+++ b/crates/cli/tests/soak/run_config.rs
@@ -3,6 +3,12 @@
 use crate::support::random::SeededRandom;
 use std::time::Duration;
 
+/// Bound of the delay of copies where responses are alike.
+const MAX_ALIKE_DELAY_MS: u64 = 25;
+/// What may fail of a host's system calls, with EMFILE, ENFILE, ENOBUFS and EINTR.
+const SYSCALL_FAULTS: [Option<&str>; 4] =
+    [None, None, Some("accept4=24/4,socket=24/4"), Some("accept4=105/7,socket=23/5,connect=4/3")];
+
 /// A defect seeded into the traffic, which the audit must find.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Defect {
@@ -36,6 +42,10 @@
     pub pause_ms: u64,
     /// Whether hosts are stopped now and then, for 0.14 s.
     pub with_stalls: bool,
+    /// Percentage of requests whose response is the same as that of others.
+    pub alike_percent: u64,
+    /// System calls of hosts that fail, in the form of `syscall_faults.c`.
+    pub syscall_faults: Option<&'static str>,
     pub defect: Option<Defect>,
 }
 
@@ -49,7 +59,7 @@
         };
         // A run with a seeded defect has no other faults.
         let quiet = defect.is_some();
-        RunConfig {
+        let config = RunConfig {
             seed,
             hosts: if quiet { 2 } else { hosts },
             shards: 2 + random.below(3) as usize,
@@ -62,7 +72,22 @@
             duplicate_delay_ms: [6, 25, 250][random.below(3) as usize],
             pause_ms: [3, 40][random.below(2) as usize],
             with_stalls: !quiet && random.below(2) == 0,
+            alike_percent: 0,
+            syscall_faults: None,
             defect,
+        };
+        if quiet {
+            return config;
+        }
+        let alike_percent = [0, 0, 90][random.below(3) as usize];
+        // A response that is the same as others' cannot be told from the first copy that is later than connections are
+        // idle at least. The platform's copies come some milliseconds late.
+        let longest_delay = if alike_percent > 0 { MAX_ALIKE_DELAY_MS } else { u64::MAX };
+        RunConfig {
+            alike_percent,
+            duplicate_delay_ms: config.duplicate_delay_ms.min(longest_delay),
+            syscall_faults: SYSCALL_FAULTS[random.below(SYSCALL_FAULTS.len() as u64) as usize],
+            ..config
         }
     }
 }
