Pause the gateway's listener where it is out of descriptors

What callers would see: a host of serve that is out of descriptors spends a whole core on accept and log lines, and serves its clients late. Cause: the poller goes on to report waiting connections, and accept_all returned at the first error. Change: errors of accept are classified as on the platform; after several refusals in a row the listener pauses by AcceptBackoff. A connection that failed by itself no longer ends the turn.

--- a/crates/gateway/src/connections/clients.rs
+++ b/crates/gateway/src/connections/clients.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Connections of clients are accepted again then.
+    pub(crate) fn resume_accept_after(&mut self, pause: Ms) {
+        self.timers.set(self.now + pause, Timer::ResumeAccept);
+    }
+
     pub(crate) fn pause_all_clients(&mut self) {
         self.clients.pause_all(self.now);
     }
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -263,6 +263,7 @@
                     self.connections.on_connect_timeout(upstream, connect_attempt);
                 }
                 Timer::PartialFrame { client, serial } => self.on_partial_frame_timeout(client, serial),
+                Timer::ResumeAccept => self.listener.resume(&mut self.connections),
                 Timer::ReconnectList => self.connections.watch_endpoints(),
                 Timer::Reroute => self.reroute(),
                 Timer::OverlapTimeout { request_id } => self.on_overlap_timeout(request_id),
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -2,14 +2,17 @@
 
 use crate::connections::Connections;
 use crate::poll_key::{poll_key, Source};
-use magpiewick_transport::{Poll, Registered};
-use std::io::{self, ErrorKind};
+use magpiewick::Ms;
+use magpiewick_engine::AcceptBackoff;
+use magpiewick_transport::{accept_error, AcceptError, Poll, Registered};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 
 /// The listener, until it is closed.
 pub(crate) struct Listener {
     socket: Option<Registered<TcpListener>>,
     address: SocketAddr,
+    backoff: AcceptBackoff,
 }
 
 impl Listener {
@@ -18,7 +21,7 @@
         let socket = magpiewick_transport::listen(address)?;
         let address = socket.local_addr()?;
         let socket = Some(poll.register(socket, poll_key(Source::Listener, 0))?);
-        Ok(Listener { socket, address })
+        Ok(Listener { socket, address, backoff: AcceptBackoff::default() })
     }
 
     /// Where clients reach it.
@@ -26,18 +29,46 @@
         self.address
     }
 
-    /// Accepts all connections that wait.
-    pub(crate) fn accept_all(&self, connections: &mut Connections) {
+    /// Accepts all connections that wait, or pauses where the system refuses several times in a row: the poller goes on
+    /// to report them, and the loop would spin.
+    pub(crate) fn accept_all(&mut self, connections: &mut Connections) {
         while let Some(socket) = &self.socket {
-            match socket.accept() {
-                Ok((stream, _)) => connections.accept_client(stream),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return tracing::warn!(%error, "accept_failed"),
+            let error = match socket.accept() {
+                Ok((stream, _)) => {
+                    self.backoff.reset();
+                    connections.accept_client(stream);
+                    continue;
+                }
+                Err(error) => error,
+            };
+            match accept_error(&error) {
+                AcceptError::Empty => return self.backoff.reset(),
+                AcceptError::Next => {}
+                AcceptError::OutOfDescriptors | AcceptError::Short => {
+                    let Some(pause) = self.backoff.next_pause() else { continue };
+                    tracing::warn!(%error, pause_ms = pause, "accept_failed");
+                    return self.pause(pause, connections);
+                }
             }
         }
     }
 
+    fn pause(&mut self, pause: Ms, connections: &mut Connections) {
+        if let Some(socket) = &mut self.socket {
+            // One that cannot be paused is reported at once again.
+            _ = socket.watch(false, false);
+        }
+        connections.resume_accept_after(pause);
+    }
+
+    /// A pause is over.
+    pub(crate) fn resume(&mut self, connections: &mut Connections) {
+        if let Some(socket) = &mut self.socket {
+            _ = socket.watch(true, false);
+        }
+        self.accept_all(connections);
+    }
+
     /// Closes the listener; false where it was closed before. Connections that the kernel has completed are accepted
     /// first.
     pub(crate) fn close(&mut self, connections: &mut Connections) -> bool {
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -9,6 +9,8 @@
     Connect { upstream: usize, connect_attempt: u64 },
     /// A client should have sent the rest of a frame.
     PartialFrame { client: usize, serial: u64 },
+    /// Connections of clients are accepted again.
+    ResumeAccept,
     /// The list service is connected to again.
     ReconnectList,
     /// Extents that were being migrated are looked up again.
