--- a/crates/emulator/src/connections.rs
+++ b/crates/emulator/src/connections.rs
@@ -2,7 +2,7 @@
 
 use crate::received_attempt::ConnectionId;
 use magpiewick_node_protocol::Message;
-use magpiewick_transport::{Connection, Poll, NOTHING};
+use magpiewick_transport::{Connection, Poll, UNTRACKED};
 use slab::Slab;
 use std::io;
 use std::net::TcpStream;
@@ -74,7 +74,7 @@
     }
 
     pub(crate) fn send(&mut self, index: usize, message: &Message<'_>) {
-        self.open[index].connection.queue(message, NOTHING);
+        self.open[index].connection.queue(message, UNTRACKED);
     }
 
     pub(crate) fn remove(&mut self, index: usize) -> Peer {
--- a/crates/emulator/src/emulator.rs
+++ b/crates/emulator/src/emulator.rs
@@ -15,7 +15,7 @@
 use crate::timer_queue::TimerQueue;
 use crate::Ms;
 use magpiewick_node_protocol::{Frames, Hello, MapUpdate, Message, Role, LONG_AGO};
-use magpiewick_transport::{listen, Clock, LoopDelay, Poll, Registered, Woken};
+use magpiewick_transport::{listen, Clock, LoopDelay, Poll, PollEvents, Registered};
 use nanorand::{Rng, WyRand};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::Receiver;
@@ -157,12 +157,12 @@
     }
 
     pub(crate) fn run(&mut self, inbox: &Receiver<Command>) {
-        let mut woken = Woken::default();
+        let mut poll_events = PollEvents::default();
         while !self.is_shutting_down {
             let (now, wake_at) = (self.clock.now(), self.timers.next_at());
             self.delay.on_sleep(now, wake_at.unwrap_or(f64::INFINITY));
             let wait = wake_at.map(|at| Clock::until(now, at));
-            if let Err(error) = self.poll.wait(&mut woken, wait) {
+            if let Err(error) = self.poll.wait(&mut poll_events, wait) {
                 return tracing::error!(%error, "emulator_poll_failed");
             }
             self.now = self.clock.now();
@@ -171,7 +171,7 @@
             while let Some(timer) = self.timers.pop_due(self.now) {
                 self.on_timer(timer);
             }
-            for key in std::mem::take(&mut woken.readable) {
+            for key in std::mem::take(&mut poll_events.readable) {
                 self.on_readable(key);
             }
             self.flush_connections();
--- a/crates/emulator/src/execution.rs
+++ b/crates/emulator/src/execution.rs
@@ -9,7 +9,7 @@
 use magpiewick_node_protocol::{
     self as wire, Attempt, ClientRequest, FinalAnswer, FinalCode, Message, Outcome, OutcomeCode,
 };
-use magpiewick_transport::NOTHING;
+use magpiewick_transport::UNTRACKED;
 
 fn key_range(attempt: &ReceivedAttempt) -> KeyRange {
     KeyRange { volume: attempt.volume, key: attempt.key, blocks: attempt.blocks }
@@ -238,7 +238,7 @@
             return self.reset_mid_frame(attempt, &message);
         }
         let Some(peer) = self.connections.get(attempt.connection) else { return };
-        peer.connection.queue(&message, NOTHING);
+        peer.connection.queue(&message, UNTRACKED);
         self.events.record(NodeEvent::Answered {
             node: self.nodes[node].config.number,
             host: attempt.host,
@@ -254,7 +254,7 @@
         let succeeded = outcome == OutcomeCode::Succeeded;
         let code = if succeeded { FinalCode::Succeeded } else { FinalCode::Rejected };
         let answer = FinalAnswer { request_id: attempt.request_id, code, retry_after_us: 0, payload };
-        peer.connection.queue(&Message::FinalAnswer(answer), NOTHING);
+        peer.connection.queue(&Message::FinalAnswer(answer), UNTRACKED);
     }
 
     fn outcome<'a>(
--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -4,7 +4,7 @@
 use crate::poll_key::{index_of, poll_key, source_of, Source};
 use magpiewick::Ms;
 use magpiewick_node_protocol::Message;
-use magpiewick_transport::{Connection, Ended, Poll, NOTHING};
+use magpiewick_transport::{Connection, Ended, Poll, UNTRACKED};
 use slab::Slab;
 use std::collections::HashMap;
 use std::net::TcpStream;
@@ -77,7 +77,7 @@
     /// Queues a message; false where the client has gone.
     pub(crate) fn send(&mut self, key: usize, message: &Message<'_>) -> bool {
         let Some(client) = self.get_mut(key) else { return false };
-        client.connection.queue(message, NOTHING);
+        client.connection.queue(message, UNTRACKED);
         true
     }
 
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -17,7 +17,7 @@
 use crate::upstream_pool::CloseReason;
 use magpiewick::{Answer, EndpointUpdate, Ms, Outcome};
 use magpiewick_engine::{Engine, StallDetector};
-use magpiewick_transport::{Clock, LoopDelay, Poll, Woken};
+use magpiewick_transport::{Clock, LoopDelay, Poll, PollEvents};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -104,15 +104,15 @@
         if !self.config.list.polled {
             self.connections.watch_endpoints();
         }
-        let mut woken = Woken::default();
+        let mut poll_events = PollEvents::default();
         loop {
             let max_sleep = self.max_sleep();
             self.note_sleep(max_sleep);
-            self.poll.wait(&mut woken, Some(Clock::until(0.0, max_sleep)))?;
+            self.poll.wait(&mut poll_events, Some(Clock::until(0.0, max_sleep)))?;
             self.connections.update_now();
             self.stall_detector.on_wake(self.connections.now());
             self.delay.on_wake(self.connections.now());
-            self.turn(&woken);
+            self.turn(&poll_events);
             if self.shutdown.is_forced() {
                 return Ok(HostEnd::Abandoned);
             }
@@ -147,9 +147,10 @@
 
     /// One turn. Endpoint updates come first, so that nothing is decided on old ones; then outcomes, which free
     /// slots; then new requests; then what is due.
-    fn turn(&mut self, woken: &Woken) {
-        let readable =
-            |source: Source| woken.readable.iter().copied().filter(move |key| source_of(*key) == source);
+    fn turn(&mut self, poll_events: &PollEvents) {
+        let readable = |source: Source| {
+            poll_events.readable.iter().copied().filter(move |key| source_of(*key) == source)
+        };
         readable(Source::ListService).for_each(|key| self.on_list_readable(key));
         readable(Source::Node).for_each(|key| self.on_node_readable(key));
         readable(Source::Gossip).for_each(|_| self.on_gossip_readable());
@@ -167,7 +168,7 @@
             }
             self.run_engine();
         }
-        woken.writable.iter().for_each(|key| self.connections.note_to_write(*key));
+        poll_events.writable.iter().for_each(|key| self.connections.note_to_write(*key));
         self.write();
     }
 
--- a/crates/gateway/src/list_connection.rs
+++ b/crates/gateway/src/list_connection.rs
@@ -5,7 +5,7 @@
 use crate::reconnect_backoff::ReconnectBackoff;
 use magpiewick::Ms;
 use magpiewick_node_protocol::Message;
-use magpiewick_transport::{Connection, Poll, NOTHING};
+use magpiewick_transport::{Connection, Poll, UNTRACKED};
 use std::io;
 use std::net::SocketAddr;
 
@@ -63,7 +63,7 @@
             return Ok(());
         }
         let mut connection = Connection::connect(poll, self.address, poll_key(Source::ListService, 0))?;
-        connection.queue(hello, NOTHING);
+        connection.queue(hello, UNTRACKED);
         self.connection = Some(connection);
         self.watch_map();
         // Another process may serve the list by now, whose epochs mean something else.
@@ -74,7 +74,7 @@
     /// Requests the list from an epoch on; false where there is no connection.
     pub(crate) fn watch_endpoints(&mut self, epoch: u64) -> bool {
         let Some(connection) = &mut self.connection else { return false };
-        connection.queue(&Message::WatchEndpoints { epoch }, NOTHING);
+        connection.queue(&Message::WatchEndpoints { epoch }, UNTRACKED);
         self.unanswered = true;
         true
     }
@@ -83,7 +83,7 @@
     pub(crate) fn watch_map(&mut self) -> bool {
         let serves_map = self.serves_map;
         let Some(connection) = self.connection.as_mut().filter(|_| serves_map) else { return false };
-        connection.queue(&Message::WatchMap, NOTHING);
+        connection.queue(&Message::WatchMap, UNTRACKED);
         true
     }
 
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -6,7 +6,7 @@
 use crate::protocol_error::ProtocolError;
 use magpiewick::{Ms, Outcome};
 use magpiewick_node_protocol::{Attempt, Message};
-use magpiewick_transport::{Connection, Ended, Poll, Withdrawn, NOTHING};
+use magpiewick_transport::{Connection, Ended, Poll, Withdrawn, UNTRACKED};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -107,7 +107,7 @@
         upstream.connect_attempts += 1;
         upstream.state.on_connect_started();
         let mut connection = Connection::connect(poll, upstream.address, poll_key(Source::Node, index))?;
-        connection.queue(hello, NOTHING);
+        connection.queue(hello, UNTRACKED);
         upstream.connection = Some(connection);
         Ok(upstream.connect_attempts)
     }
@@ -185,7 +185,7 @@
         let upstream = &mut self.upstreams[index];
         let was_sent = upstream.in_flight.contains(&request_id);
         let Some(connection) = upstream.connection.as_mut().filter(|_| was_sent) else { return false };
-        connection.queue(&Message::CancelAttempt { request_id, attempt: attempt as u16 }, NOTHING);
+        connection.queue(&Message::CancelAttempt { request_id, attempt: attempt as u16 }, UNTRACKED);
         true
     }
 
@@ -194,7 +194,7 @@
         let upstream = &mut self.upstreams[index];
         let is_established = upstream.state.is_established();
         let Some(connection) = upstream.connection.as_mut().filter(|_| is_established) else { return false };
-        connection.queue(&Message::HealthCheck { number: upstream.node }, NOTHING);
+        connection.queue(&Message::HealthCheck { number: upstream.node }, UNTRACKED);
         true
     }
 
--- a/crates/platform/src/endpoint_discovery.rs
+++ b/crates/platform/src/endpoint_discovery.rs
@@ -10,7 +10,7 @@
 use magpiewick::{Answered, EndpointClient, EndpointUpdate, Failure, Ms, Step, Target, Validity, Verdict};
 use magpiewick_exchange::{ExchangeHistory, ReceivedResponse, ResponseMismatch};
 use magpiewick_http1::{self as http1, Response};
-use magpiewick_transport::{reach, Ended, Reach, Stream};
+use magpiewick_transport::{error_origin, Ended, ErrorOrigin, Stream};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
@@ -37,12 +37,12 @@
 
 /// What an error on a connection says of discovery.
 fn failure_of(error: &io::Error) -> Failure {
-    match (reach(error), error.kind()) {
-        (Reach::Local, _) => Failure::Local,
+    match (error_origin(error), error.kind()) {
+        (ErrorOrigin::Local, _) => Failure::Local,
         (_, ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => Failure::ConnectionLost,
         (_, ErrorKind::BrokenPipe | ErrorKind::NotConnected) => Failure::ConnectionLost,
         (_, ErrorKind::TimedOut) => Failure::ConnectTimedOut,
-        (Reach::Remote, _) => Failure::Unreachable,
+        (ErrorOrigin::Remote, _) => Failure::Unreachable,
     }
 }
 
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -13,7 +13,7 @@
 use crate::signals::SignalSource;
 use magpiewick::{EndpointUpdate, Ms, Step, Target};
 use magpiewick_engine::Engine;
-use magpiewick_transport::{Clock, Poll, Woken};
+use magpiewick_transport::{Clock, Poll, PollEvents};
 use std::io;
 use std::path::Path;
 
@@ -91,7 +91,7 @@
 
     /// Serves until the host has shut down.
     pub(crate) fn run(&mut self) -> io::Result<()> {
-        let mut woken = Woken::default();
+        let mut poll_events = PollEvents::default();
         loop {
             self.run_engine();
             if self.is_finished() {
@@ -99,11 +99,11 @@
                 return Ok(());
             }
             let wake_at = self.wake_at();
-            self.proxy.reactor_mut().wait(&mut woken, wake_at)?;
+            self.proxy.reactor_mut().wait(&mut poll_events, wake_at)?;
             // Before anything is sent: the process may have been stalled for long.
             self.check_list_validity();
-            self.dispatch_readable(&woken.readable);
-            for key in woken.writable.drain(..) {
+            self.dispatch_readable(&poll_events.readable);
+            for key in poll_events.writable.drain(..) {
                 if let Source::Connection(key) = Source::from(key) {
                     self.on_writable(key);
                 }
--- a/crates/platform/src/proxy/upstreams.rs
+++ b/crates/platform/src/proxy/upstreams.rs
@@ -15,7 +15,7 @@
 use crate::wall_clock::unix_time;
 use magpiewick::{Endpoint, Ms, Outcome};
 use magpiewick_exchange::{ReceivedResponse, ResponseMismatch};
-use magpiewick_transport::{reach, Reach};
+use magpiewick_transport::{error_origin, ErrorOrigin};
 use std::net::SocketAddr;
 
 impl Proxy {
@@ -138,9 +138,9 @@
             opened => opened,
         };
         // Where this host is out of descriptors, ports or memory, that says nothing of the endpoint.
-        let key = opened.map_err(|error| match reach(&error) {
-            Reach::Remote => Outcome::ConnectFailed,
-            Reach::Local => Outcome::DeadlineExceeded,
+        let key = opened.map_err(|error| match error_origin(&error) {
+            ErrorOrigin::Remote => Outcome::ConnectFailed,
+            ErrorOrigin::Local => Outcome::DeadlineExceeded,
         })?;
         self.metrics.upstreams_opened += 1;
         self.upstreams.arm_connect_timer(&mut self.reactor, key, serial);
--- a/crates/platform/src/reactor.rs
+++ b/crates/platform/src/reactor.rs
@@ -2,7 +2,7 @@
 
 use magpiewick::Ms;
 use magpiewick_engine::StallDetector;
-use magpiewick_transport::{Clock, Poll, Stream, Timers, Woken};
+use magpiewick_transport::{Clock, Poll, PollEvents, Stream, Timers};
 use slab::Slab;
 use std::io;
 
@@ -102,11 +102,11 @@
     }
 
     /// Waits for events until `wake_at`, and begins a new turn.
-    pub(crate) fn wait(&mut self, woken: &mut Woken, wake_at: Ms) -> io::Result<()> {
+    pub(crate) fn wait(&mut self, poll_events: &mut PollEvents, wake_at: Ms) -> io::Result<()> {
         let now = self.clock.now();
         let sleep = (wake_at - now).clamp(0.0, MAX_POLL_WAIT_MS);
         self.stall_detector.on_sleep(now, sleep);
-        self.poll.wait(woken, Some(Clock::until(now, now + sleep)))?;
+        self.poll.wait(poll_events, Some(Clock::until(now, now + sleep)))?;
         self.now = self.clock.now();
         self.stall_detector.on_wake(self.now);
         self.input_age = self.stall_detector.max_request_age();
--- a/crates/scenario/src/client_loop.rs
+++ b/crates/scenario/src/client_loop.rs
@@ -10,7 +10,7 @@
 use magpiewick::Idempotency;
 use magpiewick_gateway::config::HostConfig;
 use magpiewick_node_protocol::{self as wire, FinalCode, Frames, Hello, Message, Role, LONG_AGO};
-use magpiewick_transport::{Clock, Connection, LoopDelay, Poll, Timers, Woken, NOTHING};
+use magpiewick_transport::{Clock, Connection, LoopDelay, Poll, PollEvents, Timers, UNTRACKED};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
@@ -131,19 +131,19 @@
 
     /// Runs until the session is over and all requests are.
     pub(crate) fn run(&mut self, inbox: &Receiver<Command>) {
-        let mut woken = Woken::default();
+        let mut poll_events = PollEvents::default();
         (0..self.hosts.len()).for_each(|host| self.connect(host));
         loop {
             let (now, wake_at) = (self.clock.now(), self.next_wakeup());
             self.delay.on_sleep(now, wake_at);
             let wait = Clock::until(now, wake_at);
-            if let Err(error) = self.poll.wait(&mut woken, Some(wait)) {
+            if let Err(error) = self.poll.wait(&mut poll_events, Some(wait)) {
                 return tracing::error!(%error, "client_poll_failed");
             }
             self.now = self.clock.now();
             self.delay.on_wake(self.now);
             inbox.try_iter().collect::<Vec<_>>().into_iter().for_each(|command| self.on_command(command));
-            woken.readable.iter().for_each(|key| self.on_readable(*key));
+            poll_events.readable.iter().for_each(|key| self.on_readable(*key));
             while let Some(id) = self.timers.due(self.now) {
                 let Some(timer) = self.timers_by_id.remove(&id) else { break };
                 self.on_timer(timer);
@@ -237,7 +237,7 @@
         for index in self.connections_of(host) {
             let Ok(mut connection) = Connection::connect(&self.poll, address, index) else { continue };
             let hello = Hello::new(Role::Client, index as u32, 0, LONG_AGO);
-            connection.queue(&Message::Hello(hello), NOTHING);
+            connection.queue(&Message::Hello(hello), UNTRACKED);
             self.connections[index] = Some(HostConnection { connection, incarnation: None });
         }
     }
@@ -322,7 +322,7 @@
             blocks: request.blocks,
             payload: &self.payload[..size],
         };
-        host.connection.queue(&Message::Request(message), NOTHING);
+        host.connection.queue(&Message::Request(message), UNTRACKED);
     }
 
     fn set_timer(&mut self, at: Ms, timer: Timer) {
@@ -348,7 +348,7 @@
         self.statistics.timed_out += 1;
         self.record(ClientEvent::TimedOut { number });
         if let Some(host) = &mut self.connections[open.request.connection] {
-            host.connection.queue(&Message::CancelRequest { request_id: number }, NOTHING);
+            host.connection.queue(&Message::CancelRequest { request_id: number }, UNTRACKED);
         }
     }
 
--- a/crates/scenario/src/relay.rs
+++ b/crates/scenario/src/relay.rs
@@ -4,7 +4,7 @@
 use magpiewick_node_protocol::{
     Attempt, FinalAnswer, FinalCode, Frames, Hello, Message, OutcomeCode, Role, LONG_AGO,
 };
-use magpiewick_transport::{listen, Connection, Poll, Woken, NOTHING};
+use magpiewick_transport::{listen, Connection, Poll, PollEvents, UNTRACKED};
 use slab::Slab;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -32,10 +32,10 @@
         Relay { poll: poll.clone(), nodes: connections, clients: Slab::new(), in_flight: Slab::new() };
     println!("ready {}", listener.local_addr()?);
     io::stdout().flush()?;
-    let mut woken = Woken::default();
+    let mut poll_events = PollEvents::default();
     loop {
-        poll.wait(&mut woken, None)?;
-        for key in woken.readable.iter().copied() {
+        poll.wait(&mut poll_events, None)?;
+        for key in poll_events.readable.iter().copied() {
             if key == LISTENER {
                 while let Ok((stream, _)) = listener.accept() {
                     relay.accept(stream)?;
@@ -57,7 +57,7 @@
         let entry = self.clients.vacant_entry();
         let key = CLIENTS + entry.key();
         let mut connection = Connection::accepted(&self.poll, stream, key)?;
-        connection.queue(&Message::Hello(Hello::new(Role::Host, 0, 1, LONG_AGO)), NOTHING);
+        connection.queue(&Message::Hello(Hello::new(Role::Host, 0, 1, LONG_AGO)), UNTRACKED);
         entry.insert(connection);
         Ok(())
     }
@@ -109,7 +109,7 @@
                     blocks: request.blocks,
                     payload: request.payload,
                 };
-                self.nodes[node].queue(&Message::Attempt(attempt), NOTHING);
+                self.nodes[node].queue(&Message::Attempt(attempt), UNTRACKED);
             }
             Message::Outcome(outcome) => {
                 let Some((client, request_id)) = self.in_flight.try_remove(outcome.request_id as usize)
@@ -123,7 +123,7 @@
                 };
                 let answer = FinalAnswer { request_id, code, retry_after_us: 0, payload: outcome.payload };
                 if let Some(client) = self.connection(client) {
-                    client.queue(&Message::FinalAnswer(answer), NOTHING);
+                    client.queue(&Message::FinalAnswer(answer), UNTRACKED);
                 }
             }
             _ => {}
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 
 /// The token of a frame that is not tracked.
-pub const NOTHING: u64 = 0;
+pub const UNTRACKED: u64 = 0;
 
 /// A tracked frame in the output: where it starts and ends, in bytes since the connection began, and its tokens.
 struct TrackedFrame {
@@ -78,7 +78,7 @@
         self.stream.give_back(input, used);
     }
 
-    /// Queues a message. `token` names it to [`Connection::unwritten`], unless it is [`NOTHING`].
+    /// Queues a message. `token` names it to [`Connection::unwritten`], unless it is [`UNTRACKED`].
     pub fn queue(&mut self, message: &Message<'_>, token: u64) {
         self.queue_for(message, token, Vec::new());
     }
@@ -87,7 +87,7 @@
     pub fn queue_for(&mut self, message: &Message<'_>, token: u64, more_tokens: Vec<u64>) {
         let start = self.stream.queued_in_all();
         encode(message, self.stream.output());
-        if token != NOTHING {
+        if token != UNTRACKED {
             let end = self.stream.queued_in_all();
             self.unwritten.push_back(TrackedFrame { start, end, token, more_tokens });
         }
--- a/crates/transport/src/connection/tests.rs
+++ b/crates/transport/src/connection/tests.rs
@@ -88,7 +88,7 @@
     let poll = Poll::new().unwrap();
     let (mut from, mut to) = pair(&poll);
     from.queue(&request(1, &[1]), 1);
-    from.queue(&request(2, &[2]), NOTHING);
+    from.queue(&request(2, &[2]), UNTRACKED);
     from.queue(&request(3, &[3]), 3);
     assert_eq!(from.withdraw_unwritten(), Withdrawn { tokens: vec![1, 3], partly_written: false });
     from.queue(&request(4, &[4]), 4);
--- a/crates/transport/src/errors.rs
+++ b/crates/transport/src/errors.rs
@@ -44,7 +44,7 @@
 
 /// Whose fault it is that a connection could not be begun, or broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
+pub enum ErrorOrigin {
     /// The way to the peer, or the peer.
     Remote,
     /// This host is short of something that a call needs.
@@ -52,7 +52,7 @@
 }
 
 /// Whose fault an error on a connection is.
-pub fn reach(error: &io::Error) -> Reach {
+pub fn error_origin(error: &io::Error) -> ErrorOrigin {
     match errno(error) {
         Some(
             Errno::CONNREFUSED
@@ -66,8 +66,8 @@
             | Errno::NETUNREACH
             | Errno::NETDOWN
             | Errno::NETRESET,
-        ) => Reach::Remote,
-        _ => Reach::Local,
+        ) => ErrorOrigin::Remote,
+        _ => ErrorOrigin::Local,
     }
 }
 
--- a/crates/transport/src/errors/tests.rs
+++ b/crates/transport/src/errors/tests.rs
@@ -2,12 +2,12 @@
 
 #[test]
 fn only_network_errors_are_blamed_on_the_peer() {
-    let of = |errno: Errno| reach(&io::Error::from(errno));
+    let of = |errno: Errno| error_origin(&io::Error::from(errno));
     for errno in [Errno::CONNREFUSED, Errno::CONNRESET, Errno::NETUNREACH, Errno::TIMEDOUT] {
-        assert_eq!(of(errno), Reach::Remote, "{errno:?}");
+        assert_eq!(of(errno), ErrorOrigin::Remote, "{errno:?}");
     }
     for errno in [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL] {
-        assert_eq!(of(errno), Reach::Local, "{errno:?}");
+        assert_eq!(of(errno), ErrorOrigin::Local, "{errno:?}");
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,10 +8,12 @@
 mod stream;
 mod timers;
 
-pub use connection::{Connection, Withdrawn, NOTHING};
-pub use errors::{accept_error, descriptor_limit, out_of_own_descriptors, reach, AcceptError, Reach};
+pub use connection::{Connection, Withdrawn, UNTRACKED};
+pub use errors::{
+    accept_error, descriptor_limit, error_origin, out_of_own_descriptors, AcceptError, ErrorOrigin,
+};
 pub use loop_delay::LoopDelay;
-pub use poll::{Poll, Registered, Woken};
+pub use poll::{Poll, PollEvents, Registered};
 pub use stream::{Ended, Stream};
 pub use timers::{Clock, Timers};
 
--- a/crates/transport/src/poll.rs
+++ b/crates/transport/src/poll.rs
@@ -13,7 +13,7 @@
 
 /// What a wait found: the keys that can be read and those that can be written, in the poller's order.
 #[derive(Default)]
-pub struct Woken {
+pub struct PollEvents {
     events: Option<Events>,
     /// Keys of the sources that can be read.
     pub readable: Vec<usize>,
@@ -39,21 +39,21 @@
     }
 
     /// Waits until a source is ready, another thread calls [`Poll::wake`], or the timeout is over.
-    pub fn wait(&self, woken: &mut Woken, timeout: Option<Duration>) -> io::Result<()> {
-        let events = woken.events.get_or_insert_with(Events::new);
+    pub fn wait(&self, poll_events: &mut PollEvents, timeout: Option<Duration>) -> io::Result<()> {
+        let events = poll_events.events.get_or_insert_with(Events::new);
         events.clear();
-        woken.readable.clear();
-        woken.writable.clear();
+        poll_events.readable.clear();
+        poll_events.writable.clear();
         match self.0.wait(events, timeout) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
         for event in events.iter() {
             if event.readable {
-                woken.readable.push(event.key);
+                poll_events.readable.push(event.key);
             }
             if event.writable {
-                woken.writable.push(event.key);
+                poll_events.writable.push(event.key);
             }
         }
         Ok(())
