Give the clients' connections of a scenario an owner of their own

Connections that break while they are written are handled after all were, not in between; their retries are timers in both cases.

--- a/crates/scenario/src/client_loop.rs
+++ b/crates/scenario/src/client_loop.rs
@@ -4,13 +4,14 @@
 use crate::client_event::{ClientEvent, ClientRequest};
 use crate::client_statistics::ClientStatistics;
 use crate::config::{RetryBehaviour, ScenarioConfig};
+use crate::host_connections::{HostConnections, ReceivedBytes};
 use crate::load_generator::{ClientReport, Session};
 use crate::workload::Workload;
 use crate::Ms;
 use magpiewick::Idempotency;
 use magpiewick_gateway::config::HostConfig;
-use magpiewick_node_protocol::{self as wire, FinalCode, Frames, Hello, Message, Role, LONG_AGO};
-use magpiewick_transport::{Clock, Connection, LoopDelay, Poll, PollEvents, Timers, UNTRACKED};
+use magpiewick_node_protocol::{self as wire, FinalCode, Frames, Message};
+use magpiewick_transport::{Clock, LoopDelay, Poll, PollEvents, Timers};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
@@ -32,12 +33,6 @@
     Stop,
 }
 
-struct HostConnection {
-    connection: Connection,
-    /// The host's incarnation, known from its hello.
-    incarnation: Option<u64>,
-}
-
 /// A request in flight, or one that waits for its retry.
 struct OpenRequest {
     request: ClientRequest,
@@ -68,8 +63,7 @@
     poll: Poll,
     workload: Workload,
     classes: Vec<ClassTraits>,
-    hosts: Vec<Option<SocketAddr>>,
-    connections: Vec<Option<HostConnection>>,
+    connections: HostConnections,
     in_flight: HashMap<u64, OpenRequest>,
     waiting_retries: HashMap<u64, OpenRequest>,
     timers: Timers<u64>,
@@ -106,11 +100,10 @@
         });
         ClientLoop {
             clock: session.clock,
-            poll,
             workload: Workload::new(host, scenario, hosts.len(), session.seed, session.defect),
             classes: classes.collect(),
-            connections: (0..hosts.len() * traffic.connections_per_host).map(|_| None).collect(),
-            hosts,
+            connections: HostConnections::new(poll.clone(), hosts, traffic.connections_per_host),
+            poll,
             in_flight: HashMap::new(),
             waiting_retries: HashMap::new(),
             timers: Timers::default(),
@@ -132,7 +125,7 @@
     /// Runs until the session is over and all requests are.
     pub(crate) fn run(&mut self, inbox: &Receiver<Command>) {
         let mut poll_events = PollEvents::default();
-        (0..self.hosts.len()).for_each(|host| self.connect(host));
+        (0..self.connections.host_count()).for_each(|host| self.connections.connect(host));
         loop {
             let (now, wake_at) = (self.clock.now(), self.next_wakeup());
             self.delay.on_sleep(now, wake_at);
@@ -149,7 +142,7 @@
                 self.on_timer(timer);
             }
             self.send_due_requests();
-            self.flush_connections();
+            self.connections.flush().into_iter().for_each(|connection| self.on_connection_lost(connection));
             if self.now >= self.end && self.in_flight.is_empty() && self.waiting_retries.is_empty() {
                 return;
             }
@@ -180,9 +173,9 @@
     fn on_command(&mut self, command: Command) {
         match command {
             Command::SetHost(number, address) => {
-                self.hosts[number] = address;
-                self.connections_of(number).for_each(|connection| self.on_connection_lost(connection));
-                self.connect(number);
+                self.connections.set_address(number, address);
+                self.connections.of_host(number).for_each(|connection| self.on_connection_lost(connection));
+                self.connections.connect(number);
             }
             Command::SetSurge(volume, factor) => self.workload.set_surge(volume, factor),
             Command::Stop => self.end = self.now,
@@ -207,18 +200,6 @@
         }
     }
 
-    fn flush_connections(&mut self) {
-        for index in 0..self.connections.len() {
-            let broken = self.connections[index].as_mut().is_some_and(|host| {
-                let connection = &mut host.connection;
-                (connection.pending() > 0 || connection.connecting()) && connection.flush().is_err()
-            });
-            if broken {
-                self.on_connection_lost(index);
-            }
-        }
-    }
-
     fn record(&mut self, event: ClientEvent) {
         let now = self.clock.now();
         if let Some(events) = &mut self.events {
@@ -226,22 +207,6 @@
         }
     }
 
-    /// The indexes of the connections to a host.
-    fn connections_of(&self, host: usize) -> std::ops::Range<usize> {
-        let per_host = self.workload.traffic().connections_per_host;
-        host * per_host..(host + 1) * per_host
-    }
-
-    fn connect(&mut self, host: usize) {
-        let Some(address) = self.hosts[host] else { return };
-        for index in self.connections_of(host) {
-            let Ok(mut connection) = Connection::connect(&self.poll, address, index) else { continue };
-            let hello = Hello::new(Role::Client, index as u32, 0, LONG_AGO);
-            connection.queue(&Message::Hello(hello), UNTRACKED);
-            self.connections[index] = Some(HostConnection { connection, incarnation: None });
-        }
-    }
-
     fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -274,15 +239,14 @@
     /// The connection of a request. A key is always sent to a host over one connection, so that the order sent is
     /// the order taken.
     fn connection_for(&self, request: &ClientRequest) -> usize {
-        let per_host = self.workload.traffic().connections_per_host;
-        request.host_number * per_host + (request.key / KEYS_PER_STRIPE) as usize % per_host
+        let connections = self.connections.of_host(request.host_number);
+        connections.start + (request.key / KEYS_PER_STRIPE) as usize % connections.len()
     }
 
     fn send(&mut self, mut open: OpenRequest) {
         open.sends += 1;
         let connection = self.connection_for(&open.request);
-        let incarnation = self.connections[connection].as_ref().and_then(|host| host.incarnation);
-        let Some(incarnation) = incarnation else { return };
+        let Some(incarnation) = self.connections.incarnation(connection) else { return };
         open.request.connection = connection;
         open.request.host = incarnation;
         let request = open.request;
@@ -302,7 +266,6 @@
     fn write(&mut self, number: u64) {
         let Some(open) = self.in_flight.get(&number) else { return };
         let request = &open.request;
-        let Some(host) = &mut self.connections[request.connection] else { return };
         let mix = &self.workload.traffic().mixes[open.mix];
         let size = if mix.write { mix.payload * request.blocks.max(1) as usize } else { 0 };
         // Each block that is written begins with the request's mark, by which the audit identifies it.
@@ -322,7 +285,7 @@
             blocks: request.blocks,
             payload: &self.payload[..size],
         };
-        host.connection.queue(&Message::Request(message), UNTRACKED);
+        self.connections.queue(request.connection, &Message::Request(message));
     }
 
     fn set_timer(&mut self, at: Ms, timer: Timer) {
@@ -347,23 +310,15 @@
         let Some(open) = self.in_flight.remove(&number) else { return };
         self.statistics.timed_out += 1;
         self.record(ClientEvent::TimedOut { number });
-        if let Some(host) = &mut self.connections[open.request.connection] {
-            host.connection.queue(&Message::CancelRequest { request_id: number }, UNTRACKED);
-        }
+        self.connections.queue(open.request.connection, &Message::CancelRequest { request_id: number });
     }
 
     fn on_readable(&mut self, index: usize) {
-        let Some(host) = &mut self.connections[index] else { return };
-        let mut ended = host.connection.fill().is_err();
-        let input = host.connection.take_input();
-        let mut frames = Frames::new(&input);
+        let Some(ReceivedBytes { bytes, mut ended }) = self.connections.receive(index) else { return };
+        let mut frames = Frames::new(&bytes);
         for message in frames.by_ref() {
             match message {
-                Ok(Message::Hello(hello)) => {
-                    if let Some(host) = &mut self.connections[index] {
-                        host.incarnation = Some(hello.incarnation);
-                    }
-                }
+                Ok(Message::Hello(hello)) => self.connections.on_hello(index, &hello),
                 Ok(Message::FinalAnswer(answer)) => {
                     let retry_after = f64::from(answer.retry_after_us) / 1000.0;
                     self.on_answer(answer.request_id, answer.code, retry_after, answer.payload);
@@ -376,9 +331,7 @@
             }
         }
         let used = frames.consumed();
-        if let Some(host) = &mut self.connections[index] {
-            host.connection.give_back(input, used);
-        }
+        self.connections.give_back(index, bytes, used);
         if ended {
             self.on_connection_lost(index);
         }
@@ -457,7 +410,7 @@
 
     /// A connection ended: clients retry its requests at another host, where that can do no harm.
     fn on_connection_lost(&mut self, index: usize) {
-        if self.connections[index].take().is_none() {
+        if !self.connections.remove(index) {
             return;
         }
         let on_connection = self.in_flight.values().filter(|open| open.request.connection == index);
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -9,6 +9,7 @@
 mod client_statistics;
 mod config;
 mod error;
+mod host_connections;
 mod host_process;
 mod load;
 mod load_generator;
