Trust an endpoint again after a time too, as a host may see few of its exchanges

Cause: an endpoint that sent too much was trusted again after 64 exchanges; with hundreds of hosts each sees fewer than that of one endpoint for minutes. Change: after 10 s or 64 exchanges, whichever comes first, twice as long each further time, 640 s or 4,096 at most (chosen). Tests: trust_is_regained_by_time_and_later_each_time; those that stood are unchanged.

--- a/crates/exchange/src/endpoint_trust.rs
+++ b/crates/exchange/src/endpoint_trust.rs
@@ -14,10 +14,11 @@
 /// A response with this status ends an exchange in the ordinary way.
 const STATUS_OK: u16 = 200;
 
-/// Exchanges after which an endpoint is trusted again that sent more than was requested for the first time; each
-/// further time it takes twice as many, up to a bound.
+/// Exchanges, or the time, after which an endpoint is trusted again that sent more than was requested for the first
+/// time; each further time it takes twice as long, up to a bound.
 const FIRST_DISTRUST_EXCHANGES: u32 = 64;
-const MAX_DISTRUST_EXCHANGES: u32 = 4096;
+const FIRST_DISTRUST_MS: Ms = 10_000.0;
+const MAX_DISTRUST_DOUBLINGS: u32 = 6;
 
 /// A response that may be a copy, by its content alone.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,8 +30,9 @@
 /// Why and for how long an endpoint is not trusted.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Distrust {
-    /// Exchanges until it is trusted again.
+    /// Exchanges until it is trusted again, and when it is at the latest.
     exchanges_left: u32,
+    until: Ms,
     /// How often it sent more than was requested.
     offences: u32,
     suspicion: Option<SuspectedCopy>,
@@ -40,6 +42,16 @@
     fn is_over(&self) -> bool {
         self.exchanges_left == 0 && self.suspicion.is_none()
     }
+
+    /// The endpoint has behaved for long enough. A suspicion that nothing has explained counts as a copy that was late.
+    fn end(&mut self, learned_idle: &mut Ms) {
+        self.exchanges_left = 0;
+        if let Some(suspicion) = self.suspicion.take() {
+            self.offences += 1;
+            let idle = idle_after(suspicion.idle_ms).unwrap_or(MIN_IDLE_MS);
+            *learned_idle = learned_idle.max(idle);
+        }
+    }
 }
 
 /// What a host has learned of its endpoints. Nothing in HTTP/1.1 proves that nothing of an exchange is still on its
@@ -47,17 +59,27 @@
 /// than was requested gets a new connection for each exchange until it has behaved for a number of them.
 #[derive(Clone, Debug)]
 pub struct EndpointTrust {
+    now: Ms,
     learned_idle: Ms,
     distrusted: BTreeMap<u32, Distrust>,
 }
 
 impl Default for EndpointTrust {
     fn default() -> EndpointTrust {
-        EndpointTrust { learned_idle: MIN_IDLE_MS, distrusted: BTreeMap::new() }
+        EndpointTrust { now: 0.0, learned_idle: MIN_IDLE_MS, distrusted: BTreeMap::new() }
     }
 }
 
 impl EndpointTrust {
+    /// Time advances: endpoints that have behaved for long enough are trusted again.
+    pub fn advance(&mut self, now: Ms) {
+        self.now = now;
+        let learned_idle = &mut self.learned_idle;
+        for distrust in self.distrusted.values_mut().filter(|distrust| now >= distrust.until) {
+            distrust.end(learned_idle);
+        }
+    }
+
     /// How long a connection must be idle before it is used again.
     pub fn min_idle(&self) -> Ms {
         let suspicions = self.distrusted.values().filter_map(|distrust| distrust.suspicion);
@@ -79,8 +101,9 @@
     /// Bytes arrived from an endpoint outside an exchange, so long after the last one on their connection ended.
     pub fn on_unsolicited_bytes(&mut self, endpoint: u32, idle_ms: Ms) {
         let distrust = self.distrusted.entry(endpoint).or_default();
-        let doubled = FIRST_DISTRUST_EXCHANGES << distrust.offences.min(MAX_DISTRUST_EXCHANGES.ilog2());
-        distrust.exchanges_left = doubled.min(MAX_DISTRUST_EXCHANGES);
+        let doublings = distrust.offences.min(MAX_DISTRUST_DOUBLINGS);
+        distrust.exchanges_left = FIRST_DISTRUST_EXCHANGES << doublings;
+        distrust.until = self.now + FIRST_DISTRUST_MS * f64::from(1u32 << doublings);
         distrust.offences += 1;
         if let Some(idle) = idle_after(idle_ms) {
             self.learned_idle = self.learned_idle.max(idle);
@@ -91,6 +114,7 @@
     pub fn on_suspected_copy(&mut self, endpoint: u32, digest: ResponseDigest, idle_ms: Ms) {
         let distrust = self.distrusted.entry(endpoint).or_default();
         distrust.exchanges_left = distrust.exchanges_left.max(FIRST_DISTRUST_EXCHANGES);
+        distrust.until = distrust.until.max(self.now + FIRST_DISTRUST_MS);
         distrust.suspicion = Some(SuspectedCopy { digest, idle_ms });
     }
 
@@ -110,12 +134,7 @@
         let Some(distrust) = self.distrusted.get_mut(&endpoint) else { return };
         distrust.exchanges_left = distrust.exchanges_left.saturating_sub(1);
         if distrust.exchanges_left == 0 {
-            if let Some(suspicion) = distrust.suspicion.take() {
-                // Nothing has explained it: it counts as a copy that was late.
-                distrust.offences += 1;
-                let idle = idle_after(suspicion.idle_ms).unwrap_or(MIN_IDLE_MS);
-                self.learned_idle = self.learned_idle.max(idle);
-            }
+            distrust.end(&mut self.learned_idle);
         }
     }
 
--- a/crates/exchange/src/endpoint_trust/tests.rs
+++ b/crates/exchange/src/endpoint_trust/tests.rs
@@ -84,3 +84,18 @@
     trust.on_common_response(digest(b"OK"));
     assert!(!trust.may_reuse(1, 200));
 }
+
+#[test]
+fn trust_is_regained_by_time_and_later_each_time() {
+    let mut trust = EndpointTrust::default();
+    let mut now = 1000.0;
+    for wait in [10_000.0, 20_000.0, 40_000.0, 80_000.0, 160_000.0, 320_000.0, 640_000.0, 640_000.0] {
+        trust.advance(now);
+        trust.on_unsolicited_bytes(1, 3.0);
+        trust.advance(now + wait - 1.0);
+        assert!(!trust.may_reuse(1, 200), "trusted within {wait} ms");
+        now += wait;
+        trust.advance(now);
+        assert!(trust.may_reuse(1, 200), "not trusted after {wait} ms");
+    }
+}
--- a/crates/platform/src/upstream_pool.rs
+++ b/crates/platform/src/upstream_pool.rs
@@ -153,6 +153,7 @@
     pub(crate) fn record_exchange(&mut self, now: Ms, key: ConnectionKey, response: &ReceivedResponse<'_>) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         connection.record_exchange(now, response);
+        self.trust.advance(now);
         if response.trailing.is_empty() {
             self.trust.on_exchange(connection.endpoint());
         }
