Read a process's ticks in one place, and report the emulator's delay directly

Cause: found on reading the change again. serve_descriptors.rs read /proc/PID/stat as the tests' support did already; the scenario's report was made with a placeholder for the emulator's delay and then made anew. Change: cpu_ticks_of of the tests' support serves both; report() takes the delay. No assertion and no bound changes.

--- a/crates/cli/tests/serve_descriptors.rs
+++ b/crates/cli/tests/serve_descriptors.rs
@@ -1,10 +1,14 @@
 //! `magpiewick serve` where the system allows it few descriptors.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
+use support::host_process::cpu_ticks_of;
 
 /// Descriptors that the system allows; more connections than that wait.
 const DESCRIPTORS: usize = 40;
@@ -35,9 +39,7 @@
 
     /// Processor time used, in hundredths of a second.
     fn cpu_ticks(&self) -> u64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id())).unwrap();
-        let fields = stat.rsplit_once(") ").unwrap().1.split(' ').skip(11).take(2);
-        fields.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+        cpu_ticks_of(self.process.id()).unwrap()
     }
 }
 
--- a/crates/cli/tests/support/host_process.rs
+++ b/crates/cli/tests/support/host_process.rs
@@ -121,11 +121,7 @@
 
     /// Processor time used, in hundredths of a second; none once the process has ended.
     pub(crate) fn cpu_ticks(&self) -> Option<u64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
-        let mut fields = stat.rsplit_once(") ")?.1.split(' ').skip(11);
-        let user: u64 = fields.next()?.parse().ok()?;
-        let system: u64 = fields.next()?.parse().ok()?;
-        Some(user + system)
+        cpu_ticks_of(self.child.id())
     }
 }
 
@@ -137,6 +133,15 @@
     }
 }
 
+/// Processor time that a process has used, in hundredths of a second; none once it has ended.
+pub(crate) fn cpu_ticks_of(process: u32) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let mut fields = stat.rsplit_once(") ")?.1.split(' ').skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(user + system)
+}
+
 fn next_number() -> u64 {
     static NUMBER: AtomicU64 = AtomicU64::new(0);
     NUMBER.fetch_add(1, Ordering::SeqCst)
--- a/crates/scenario/src/scenario_run.rs
+++ b/crates/scenario/src/scenario_run.rs
@@ -135,10 +135,7 @@
         stalls: &stalls,
         stored: &stored,
     });
-    Ok(ScenarioReport {
-        emulator_delay_ms: emulator_delay,
-        ..report(settings, options, clients, verdict, exit_codes)
-    })
+    Ok(report(settings, options, clients, emulator_delay, verdict, exit_codes))
 }
 
 fn start_hosts(program: &HostProgram, count: usize) -> Result<Vec<Option<HostProcess>>, ScenarioError> {
@@ -149,6 +146,7 @@
     settings: ScenarioSettings<'_>,
     options: RunOptions,
     clients: ClientReport,
+    emulator_delay: Ms,
     verdict: Verdict,
     exit_codes: Vec<Option<i32>>,
 ) -> ScenarioReport {
@@ -170,7 +168,7 @@
         p50_ms: statistics.latency_ms(0.5),
         p99_ms: statistics.latency_ms(0.99),
         client_delay_ms: clients.longest_delay,
-        emulator_delay_ms: 0.0,
+        emulator_delay_ms: emulator_delay,
         exit_codes,
         verdict,
         without_overload_protection: None,
