Show in review case 6 that a flood of refused requests loses other clients' requests

Cause: the event loop refuses all that bad clients have sent before it asks the poller again, so that nothing else is read, sent or timed for 1.8 s.

--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -4,6 +4,7 @@
 
 pub fn run(case: &str, context: &Context) -> CaseResult {
     match case {
+        "late-in-flood" => late_in_flood(context),
         "order-pipelined" => order_pipelined(context),
         "order-after-pause" => order_after_pause(context),
         "late-after-pause" => late_after_pause(context),
@@ -333,3 +334,89 @@
     }
     Ok(breaks)
 }
+
+/// Bad clients send hundreds of requests without an id at once, and the same again when these are refused. A usual client
+/// sends one request after the other. Each must be answered at most half a second after its time is over.
+fn late_in_flood(context: &Context) -> CaseResult {
+    const BAD_CLIENTS: u64 = 200;
+    const AT_ONCE: usize = 900;
+    const LIMIT_MS: u64 = 300;
+    const GRACE_MS: f64 = 500.0 + 50.0;
+    const FLOOD_MS: f64 = 20_000.0;
+    /// The machine counts as too busy for a verdict if a request that goes past the host takes longer.
+    const MACHINE_MS: f64 = 200.0;
+    let record = &context.record;
+    let node = Node::start(record, 0, |_| Deed::Serve(20.0))?;
+    let discovery = Discovery::start(record, vec![Instance::serving("s-1", &node, 0)])?;
+    let times = Times { soft: 200, limit: LIMIT_MS };
+    let host = Host::start(context, &settings(times, times, times), &discovery)?;
+    let address = host.address;
+    let (end, refused) = (Flag::default(), Arc::new(AtomicU64::new(0)));
+    let bad_clients = if context.trouble { BAD_CLIENTS } else { 0 };
+    let mut threads = Vec::new();
+    for number in 0..bad_clients {
+        let (end, refused) = (end.clone(), refused.clone());
+        threads.push(std::thread::spawn(move || {
+            let request = format!("GET /api/{VOLUME:016x}/{number:016x} HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+            let burst = request.repeat(AT_ONCE);
+            while !end.is_set() {
+                let Ok(mut client) = Client::connect(address) else {
+                    sleep_ms(20.0);
+                    continue;
+                };
+                while !end.is_set() && client.send(burst.as_bytes()) {
+                    let answered = (0..AT_ONCE).take_while(|_| matches!(client.reply(5000.0), Reply::Response { .. }));
+                    let answered = answered.count();
+                    refused.fetch_add(answered as u64, Ordering::Relaxed);
+                    if answered < AT_ONCE {
+                        break;
+                    }
+                }
+            }
+        }));
+    }
+    record.line(&format!("{bad_clients} bad clients send {AT_ONCE} requests at once each, again and again"));
+    sleep_ms(500.0);
+    let started_at = record.now();
+    let (mut breaks, mut undecided) = (0, 0);
+    let mut client = Client::connect(address)?;
+    let mut direct = Client::connect(node.address)?;
+    for request in 0..150u64 {
+        if record.now() > started_at + FLOOD_MS {
+            break;
+        }
+        let (id, direct_id) = (format!("r{request:03}"), format!("d{request:03}"));
+        client.send(&read(&id, "read", 0x100 + request, LIMIT_MS, 0).bytes());
+        let sent_at = record.now();
+        // The same request past the host, which shows how busy the machine is.
+        direct.send(&read(&direct_id, "read", 0x100 + request, LIMIT_MS, 0).bytes());
+        direct.reply(4000.0);
+        let direct_took = record.now() - sent_at;
+        let reply = client.reply(8000.0);
+        let took = record.now() - sent_at;
+        record.line(&format!("{id} is answered {reply:?} after {took:.0} ms ({direct_took:.0} ms past the host)"));
+        if !matches!(reply, Reply::Response { .. }) {
+            client = Client::connect(address)?;
+        }
+        if took > LIMIT_MS as f64 + GRACE_MS {
+            if direct_took > MACHINE_MS {
+                undecided += 1;
+                continue;
+            }
+            breaks += 1;
+            let late = took - LIMIT_MS as f64;
+            record.line(&format!("BROKEN: {id} got its final answer {late:.0} ms after its time"));
+        }
+        sleep_ms(100.0);
+    }
+    end.set();
+    record.line(&format!("the host answered {} requests of bad clients", refused.load(Ordering::Relaxed)));
+    drop(host);
+    for thread in threads {
+        _ = thread.join();
+    }
+    match (breaks, undecided) {
+        (0, 1..) => Err(format!("the machine was too busy {undecided} times")),
+        _ => Ok(breaks),
+    }
+}
