Discard responses whose stated length leaves a rest of the body

Cause: ExchangeHistory::verify decided whose response arrived and took for granted that it was whole; the surplus was charged to the connection alone. A read whose limit ends at the stated end left the rest in the socket unseen. Evidence: the debug log of one request has unsolicited_bytes_received bytes=14 idle_ms=0 on a connection with exchanges=0, then attempt_finished settled.

Change: a surplus that begins no response, behind a length that is only stated, makes the response wrong_content_length: the attempt failed and may have run. After a body in chunks a surplus is harmless. The socket is read once more behind each complete response.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -14,3 +14,4 @@
 mod support;
 mod syscall_faults;
 mod termination_races;
+mod wrong_lengths;
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -19,6 +19,8 @@
 pub(crate) enum Behaviour {
     /// Writes these bytes; `{body}` is replaced by the expected body for the request.
     Write(&'static str),
+    /// Writes the first bytes and, after a pause, the others, whether or not a request has arrived meanwhile.
+    WriteInParts(&'static str, Duration, &'static str),
     /// Writes these bytes and closes the connection.
     WriteThenClose(&'static str),
     /// Writes these bytes and resets the connection.
@@ -170,6 +172,11 @@
                 }
             }
             Behaviour::Write(text) => self.stream.write_all(&fill_body(text)).ok()?,
+            Behaviour::WriteInParts(first, pause, second) => {
+                self.stream.write_all(&fill_body(first)).ok()?;
+                std::thread::sleep(pause);
+                self.stream.write_all(&fill_body(second)).ok()?;
+            }
             Behaviour::WriteThenClose(text) => {
                 self.stream.write_all(&fill_body(text)).ok()?;
                 return self.close();
--- a/crates/exchange/src/common_responses/tests.rs
+++ b/crates/exchange/src/common_responses/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
+use magpiewick_http1::BodyEnd;
 
 fn received(body: &[u8]) -> ReceivedResponse<'_> {
-    ReceivedResponse { status: 200, body, trailing: b"", request_id: None }
+    ReceivedResponse { status: 200, body, body_end: BodyEnd::Stated, trailing: b"", request_id: None }
 }
 
 #[test]
--- a/crates/exchange/src/connection_reuse/tests.rs
+++ b/crates/exchange/src/connection_reuse/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use magpiewick_http1::BodyEnd;
 
 #[test]
 fn connections_are_not_reused_after_unsolicited_bytes_until_the_endpoint_is_removed() {
@@ -27,7 +28,8 @@
 
 /// The digest of a response with this body.
 fn digest(body: &[u8]) -> ResponseDigest {
-    crate::ReceivedResponse { status: 200, body, trailing: b"", request_id: None }.digest()
+    crate::ReceivedResponse { status: 200, body, body_end: BodyEnd::Stated, trailing: b"", request_id: None }
+        .digest()
 }
 
 /// Returns the number of exchanges until connections to an endpoint are reused.
--- a/crates/exchange/src/exchange_history.rs
+++ b/crates/exchange/src/exchange_history.rs
@@ -1,12 +1,11 @@
 //! History of the exchanges on one connection to an endpoint, which carries one exchange at a time.
 
 use crate::{CommonResponses, Ms};
+use magpiewick_http1::{begins_response, BodyEnd, RESPONSE_START};
 use std::collections::VecDeque;
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
-/// First bytes of every response.
-const RESPONSE_START: &[u8] = b"HTTP/1.1 ";
 /// Maximum number of remembered responses per connection.
 const MAX_REMEMBERED_RESPONSES: usize = 32;
 
@@ -17,6 +16,8 @@
     pub status: u16,
     /// Body without its framing.
     pub body: &'a [u8],
+    /// Evidence for the end of the body.
+    pub body_end: BodyEnd,
     /// Bytes received after the response.
     pub trailing: &'a [u8],
     /// Request id that the response states.
@@ -37,7 +38,7 @@
     }
 }
 
-/// Reason why a response may belong to a request other than the one in flight.
+/// Reason why a response may not be the complete response to the request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResponseMismatch {
     /// The response states the id of another request.
@@ -50,6 +51,10 @@
     /// with part of an earlier one, and the following bytes filled up the rest of its length.
     #[error("another response begins in the body")]
     ContainsAnotherResponse,
+    /// Bytes that begin no response follow the stated end of the body: the stated length may be too small, and
+    /// the bytes the rest of the body.
+    #[error("the stated length may be too small")]
+    WrongContentLength,
 }
 
 impl ResponseMismatch {
@@ -59,6 +64,7 @@
             ResponseMismatch::DifferentRequestId => "different_request_id",
             ResponseMismatch::DuplicateResponse => "duplicate_response",
             ResponseMismatch::ContainsAnotherResponse => "contains_another_response",
+            ResponseMismatch::WrongContentLength => "wrong_content_length",
         }
     }
 }
@@ -83,14 +89,23 @@
         now - self.last_ended_at
     }
 
-    /// Verifies that a response belongs to the request in flight. On a connection that was not used before,
-    /// no other response can arrive. On any other, bytes of an earlier exchange may arrive first: a duplicate
-    /// of its response, or part of one. Where an endpoint gives the same response to two requests on one
-    /// connection, the second counts as a mismatch.
+    /// Verifies that a response belongs to the request in flight and is complete. On a connection that was not
+    /// used before, no other response can arrive. On any other, bytes of an earlier exchange may arrive first: a
+    /// duplicate of its response, or part of one. Where an endpoint gives the same response to two requests on
+    /// one connection, the second counts as a mismatch.
     pub fn verify(&self, response: &ReceivedResponse<'_>, request_id: &str) -> Result<(), ResponseMismatch> {
         if response.request_id.is_some_and(|named| named != request_id) {
             return Err(ResponseMismatch::DifferentRequestId);
         }
+        self.verify_origin(response)?;
+        match may_be_cut(response) {
+            true => Err(ResponseMismatch::WrongContentLength),
+            false => Ok(()),
+        }
+    }
+
+    /// Verifies that no byte of a response stems from an earlier exchange.
+    fn verify_origin(&self, response: &ReceivedResponse<'_>) -> Result<(), ResponseMismatch> {
         if self.exchanges == 0 {
             return Ok(());
         }
@@ -148,5 +163,12 @@
     })
 }
 
+/// Returns whether the trailing bytes may be the rest of a body whose stated length is too small. A copy of a
+/// response can be told from such a rest, other bytes cannot.
+fn may_be_cut(response: &ReceivedResponse<'_>) -> bool {
+    let has_rest = !response.trailing.is_empty() && !begins_response(response.trailing);
+    has_rest && response.body_end == BodyEnd::Stated
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,7 +15,7 @@
     may_begin_request, parse_request_head, BodyFraming, CompleteRequest, Rejection, RequestHead,
     RequestReader,
 };
-pub use response::{MalformedResponse, Response, ResponseReader};
+pub use response::{begins_response, BodyEnd, MalformedResponse, Response, ResponseReader, RESPONSE_START};
 pub use write::{write_request_head, write_response, OutgoingResponse, CONTINUE_RESPONSE};
 
 /// Maximum length of a message head.
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -6,9 +6,22 @@
 use crate::MAX_RESPONSE_BODY_BYTES;
 use thiserror::Error;
 
+/// First bytes of every response.
+pub const RESPONSE_START: &[u8] = b"HTTP/1.1 ";
+/// Number of digits of a status code.
+const STATUS_DIGITS: usize = 3;
 /// Maximum number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
+/// Evidence for where the body of a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The head states the length, which may be wrong.
+    Stated,
+    /// The bytes themselves mark the end: the last chunk, or the end of the stream.
+    Marked,
+}
+
 /// A complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
@@ -18,6 +31,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Body without its framing.
     pub body: Vec<u8>,
+    /// Evidence for the end of the body.
+    pub body_end: BodyEnd,
     /// True if the connection carries no further request.
     pub close: bool,
 }
@@ -34,6 +49,12 @@
     }
 }
 
+/// Returns whether bytes begin with the status line of a response, up to the status code.
+pub fn begins_response(bytes: &[u8]) -> bool {
+    let Some(status) = bytes.strip_prefix(RESPONSE_START) else { return false };
+    status.len() >= STATUS_DIGITS && status[..STATUS_DIGITS].iter().all(u8::is_ascii_digit)
+}
+
 /// Error for bytes that are not a response, whatever bytes follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the bytes are no HTTP/1.1 response")]
@@ -159,6 +180,7 @@
         status,
         headers: parsed.headers.iter().map(|h| (h.name.to_string(), h.value.to_vec())).collect(),
         body: Vec::new(),
+        body_end: BodyEnd::Stated,
         close: headers.has_token("connection", "close"),
     };
     match (codings.as_slice(), length) {
@@ -167,9 +189,13 @@
         }
         ([], None) if matches!(status, 204 | 304) => Ok(Some(Stage::SizedBody(response, 0))),
         ([coding], None) if coding.eq_ignore_ascii_case(b"chunked") => {
+            let response = Response { body_end: BodyEnd::Marked, ..response };
             Ok(Some(Stage::ChunkedBody(response, ChunkedBodyReader::default())))
         }
-        ([], None) => Ok(Some(Stage::UntilClose(Response { close: true, ..response }))),
+        ([], None) => {
+            let response = Response { body_end: BodyEnd::Marked, close: true, ..response };
+            Ok(Some(Stage::UntilClose(response)))
+        }
         _ => Err(MalformedResponse),
     }
 }
--- a/crates/node-protocol/tests/codec.rs
+++ b/crates/node-protocol/tests/codec.rs
@@ -187,6 +187,21 @@
     }
 }
 
+/// Guards against a part of a message that is taken for the whole because the stated length is too small.
+#[test]
+fn frame_with_a_wrong_length_is_rejected() {
+    let any = AnyMessage(1, [7, 8, 9, 10], 2.0, b"payload of the frame".to_vec());
+    let mut bytes = Vec::new();
+    encode(&any.message(), &mut bytes);
+    let stated = bytes.len() - HEADER_LENGTH;
+    for wrong in (0..stated).chain([stated + 1]) {
+        let mut changed = bytes.clone();
+        changed[..4].copy_from_slice(&(wrong as u32).to_le_bytes());
+        changed.push(0);
+        assert_eq!(decode(&changed), Err(DecodeError::ChecksumMismatch), "{wrong} in place of {stated}");
+    }
+}
+
 #[test]
 fn oversized_frame_is_rejected_by_its_header() {
     let mut header = [0; HEADER_LENGTH];
--- a/crates/platform/src/endpoint_discovery.rs
+++ b/crates/platform/src/endpoint_discovery.rs
@@ -119,6 +119,7 @@
         let received = ReceivedResponse {
             status: response.status,
             body: &response.body,
+            body_end: response.body_end,
             trailing: &[],
             request_id: None,
         };
@@ -336,6 +337,7 @@
         let received = ReceivedResponse {
             status: response.status,
             body: &response.body,
+            body_end: response.body_end,
             trailing: &[],
             request_id: None,
         };
--- a/crates/platform/src/proxy/upstreams.rs
+++ b/crates/platform/src/proxy/upstreams.rs
@@ -255,6 +255,7 @@
         let received = ReceivedResponse {
             status: response.status,
             body: &response.body,
+            body_end: response.body_end,
             trailing,
             request_id: response.header("x-request-id"),
         };
@@ -274,7 +275,7 @@
         }
     }
 
-    /// Handles a response that may belong to another request: the response is discarded.
+    /// Handles a response that may belong to another request or may be incomplete: the response is discarded.
     fn on_mismatch(
         &mut self,
         key: ConnectionKey,
@@ -286,11 +287,15 @@
         let (endpoint, serial, idle_ms) = (upstream.endpoint(), upstream.serial(), upstream.idle_for(now));
         self.log.response_mismatched(now, self.endpoints.id(endpoint), serial, mismatch);
         self.fail_upstream(key, AttemptEnd::MalformedResponse);
-        if mismatch == ResponseMismatch::DuplicateResponse && received.trailing.is_empty() {
-            self.upstreams.suspect_copy(endpoint, received, idle_ms);
-            self.close_idle(endpoint, UpstreamCloseReason::NotReusable);
-        } else {
-            self.on_unsolicited_bytes(endpoint, serial, 0, idle_ms);
+        match mismatch {
+            ResponseMismatch::DuplicateResponse if received.trailing.is_empty() => {
+                self.upstreams.suspect_copy(endpoint, received, idle_ms);
+                self.close_idle(endpoint, UpstreamCloseReason::NotReusable);
+            }
+            ResponseMismatch::WrongContentLength => {
+                self.on_unsolicited_bytes(endpoint, serial, received.trailing.len(), 0.0);
+            }
+            _ => self.on_unsolicited_bytes(endpoint, serial, 0, idle_ms),
         }
     }
 
--- a/crates/platform/src/response_stream.rs
+++ b/crates/platform/src/response_stream.rs
@@ -4,6 +4,9 @@
 use magpiewick_transport::{Stream, StreamEnd};
 use thiserror::Error;
 
+/// Limit of the bytes that are read behind a complete response to learn whether any follow it.
+const MAX_TRAILING_BYTES: usize = 1 << 10;
+
 /// Reason why no further response can be read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(crate) enum ReceiveError {
@@ -75,11 +78,15 @@
 
     /// Reads at most `max_bytes` of input, and returns a response if it is complete.
     pub(crate) fn receive(&mut self, max_bytes: usize) -> Result<Option<CompleteResponse>, ReceiveError> {
-        let ended = self.stream.fill_up_to(max_bytes).err();
+        let mut ended = self.stream.fill_up_to(max_bytes).err();
         let input = self.stream.take_input();
         let (used, response) = self.reader.read(&input)?;
-        let trailing = input[used..].to_vec();
         self.stream.return_input(input, used);
+        if response.is_some() && ended.is_none() {
+            // Trailing bytes that the limit left unread, or that have just arrived, count as those read before.
+            ended = self.stream.fill_up_to(MAX_TRAILING_BYTES).err();
+        }
+        let trailing = self.stream.input().to_vec();
         let response = match (response, &ended) {
             (None, Some(StreamEnd::Closed)) if trailing.is_empty() => self.reader.on_end_of_stream(),
             (response, _) => response,
@@ -94,3 +101,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
