Limit the work of a turn of the platform's event loop

Cause: run_engine repeated its round for as long as any client had a request that could be answered at once.

Change: TurnBudget limits rounds, requests behind earlier ones and bytes, for each connection and in all; what is left waits for the next turn in order, and clients with a waiting request are not read. ReadShare reads connections in rotation. Reads are smaller while the host shuts down.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod discovery;
+pub(crate) mod endless_flood;
 pub(crate) mod flood;
 pub(crate) mod host_process;
 pub(crate) mod host_settings;
@@ -19,6 +20,7 @@
 pub(crate) mod serve_process;
 pub(crate) mod test_cluster;
 pub(crate) mod unreachable_node;
+pub(crate) mod usual_clients;
 
 use std::time::Duration;
 
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub(crate) const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{body}";
 pub(crate) const OVERLOADED_RESPONSE: &str = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -81,6 +81,8 @@
     /// Behaviour after the end of the script; `None` responds normally.
     default_behaviour: Mutex<Option<Behaviour>>,
     pub received: Mutex<Vec<HttpMessage>>,
+    /// Times at which the requests were received, in the same order.
+    received_at: Mutex<Vec<Instant>>,
     pub connections: AtomicU64,
     request_received: Condvar,
 }
@@ -110,6 +112,14 @@
         self.received.lock().unwrap().len()
     }
 
+    /// Returns the id and the time of each request received.
+    pub(crate) fn arrivals(&self) -> Vec<(String, Instant)> {
+        let received = self.received.lock().unwrap();
+        let ids =
+            received.iter().map(|message| message.field("x-request-id").unwrap_or_default().to_string());
+        ids.zip(self.received_at.lock().unwrap().iter().copied()).collect()
+    }
+
     /// Waits until `n` requests have been received in total.
     pub(crate) fn wait_for_requests(&self, n: usize) {
         let received = self.received.lock().unwrap();
@@ -135,7 +145,11 @@
         loop {
             let message = HttpMessage::read(&mut connection.reader)?;
             let id = message.field("x-request-id").unwrap_or_default().to_string();
-            self.received.lock().unwrap().push(message);
+            {
+                let mut received = self.received.lock().unwrap();
+                received.push(message);
+                self.received_at.lock().unwrap().push(Instant::now());
+            }
             self.request_received.notify_all();
             connection.respond(&id, self.next_behaviour())?;
         }
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -79,6 +79,10 @@
     open_request: Option<u64>,
     /// Memory that the open request takes.
     open_request_bytes: usize,
+    /// True if the next request waits for a later turn of the event loop.
+    awaits_turn: bool,
+    /// Time since which input has been left unread for a later turn of the event loop.
+    unread_since: Option<Ms>,
     /// True if the connection reads no further requests and closes once its output is written.
     closing: bool,
     discarded_bytes: usize,
@@ -102,6 +106,8 @@
             timer_armed: true,
             open_request: None,
             open_request_bytes: 0,
+            awaits_turn: false,
+            unread_since: None,
             closing: false,
             discarded_bytes: 0,
             write_blocked: None,
@@ -125,9 +131,35 @@
         self.open_request
     }
 
-    /// Returns whether a request is open or a response is not written completely.
+    /// Returns whether a request is open or waits for its turn, or a response is not written completely.
     pub(crate) fn is_busy(&self) -> bool {
-        self.open_request.is_some() || self.stream.pending() > 0
+        self.open_request.is_some() || self.awaits_turn || self.stream.pending() > 0
+    }
+
+    /// Returns whether the next request waits for a later turn of the event loop.
+    pub(crate) fn awaits_turn(&self) -> bool {
+        self.awaits_turn
+    }
+
+    /// Leaves the next request to a later turn of the event loop; returns false where it was left before.
+    #[must_use = "the client has to be queued for its turn"]
+    pub(crate) fn await_turn(&mut self) -> bool {
+        !std::mem::replace(&mut self.awaits_turn, true)
+    }
+
+    /// Ends the wait for a turn; returns whether the connection was waiting.
+    pub(crate) fn end_await_turn(&mut self) -> bool {
+        std::mem::take(&mut self.awaits_turn)
+    }
+
+    /// Records that input is left unread for a later turn of the event loop.
+    pub(crate) fn leave_unread(&mut self, now: Ms) {
+        self.unread_since.get_or_insert(now);
+    }
+
+    /// Returns the number of bytes read since the start of the connection.
+    pub(crate) fn total_read(&self) -> u64 {
+        self.stream.total_read()
     }
 
     /// Returns whether the connection closes as soon as its output is written.
@@ -149,7 +181,7 @@
 
     /// Returns whether the socket has unread input.
     pub(crate) fn has_unread_input(&self) -> bool {
-        self.stream.has_unread()
+        self.unread_since.is_some() || self.stream.has_unread()
     }
 
     /// Returns whether the client has closed its connection, even where input before the end is unread.
@@ -182,7 +214,7 @@
     /// Returns the state that decides about the timeout.
     pub(crate) fn activity(&self) -> ClientActivity {
         ClientActivity {
-            request_open: self.open_request.is_some(),
+            request_open: self.open_request.is_some() || self.awaits_turn,
             response_pending: self.stream.pending() > 0,
             write_blocked_since: self.write_blocked.map(|blocked| blocked.since),
             lingering_since: self.lingering_since,
@@ -206,6 +238,7 @@
     /// Reads the input that has arrived, by means of `buffer`. `input_age`: upper bound of its age.
     pub(crate) fn receive(&mut self, now: Ms, input_age: Ms, buffer: &mut [u8]) -> InputEvent {
         let was_empty = !self.has_pipelined_input();
+        let input_age = self.unread_since.take().map_or(input_age, |since| input_age.max(now - since));
         let (length, ended) = self.stream.read_available(buffer);
         // The poller reports an event on a connection that is not read only when the connection has ended.
         if ended.is_some() || !self.stream.reading() {
--- a/crates/platform/src/client_pool.rs
+++ b/crates/platform/src/client_pool.rs
@@ -7,9 +7,11 @@
     MAX_PIPELINED_BYTES,
 };
 use crate::reactor::{ConnectionKey, ConnectionKind, Reactor, Timer};
+use crate::turn_budget::MAX_BYTES_PER_CLIENT;
 use magpiewick::{MemoryBudget, MemoryPurpose, Ms, GUARANTEED_BYTES};
 use magpiewick_http1::OutgoingResponse;
-use magpiewick_transport::{Stream, MAX_BYTES_PER_FILL};
+use magpiewick_transport::Stream;
+use std::collections::VecDeque;
 use std::io;
 use std::net::TcpStream;
 
@@ -31,6 +33,9 @@
     read_buffer: Box<[u8]>,
     /// Clients with a newly queued response.
     to_flush: Vec<ConnectionKey>,
+    /// Clients whose next request waits for a later turn, in the order of their turns. A key whose connection does not
+    /// wait belongs to a former connection.
+    awaiting_turn: VecDeque<ConnectionKey>,
     /// Clients that were found disconnected when an attempt was about to be written for them.
     disconnected: Vec<ConnectionKey>,
 }
@@ -38,14 +43,14 @@
 impl ClientPool {
     /// Creates an empty pool. `max_served`: limit of the connected clients that have sent a request.
     pub(crate) fn new(max_connections: usize, max_served: usize) -> ClientPool {
-        let (to_flush, disconnected) = (Vec::new(), Vec::new());
         ClientPool {
             connections: BufferTable::default(),
             max_connections,
             max_served,
-            read_buffer: vec![0; MAX_BYTES_PER_FILL].into(),
-            to_flush,
-            disconnected,
+            read_buffer: vec![0; MAX_BYTES_PER_CLIENT].into(),
+            to_flush: Vec::new(),
+            awaiting_turn: VecDeque::new(),
+            disconnected: Vec::new(),
         }
     }
 
@@ -134,10 +139,15 @@
         self.connections.len() == 0
     }
 
-    /// Reads the input that has arrived.
-    pub(crate) fn receive(&mut self, reactor: &mut Reactor, key: ConnectionKey) -> InputEvent {
+    /// Reads at most `max_bytes` of the input that has arrived.
+    pub(crate) fn receive(
+        &mut self,
+        reactor: &mut Reactor,
+        key: ConnectionKey,
+        max_bytes: usize,
+    ) -> InputEvent {
         let (now, input_age) = (reactor.now(), reactor.input_age());
-        let buffer = &mut self.read_buffer;
+        let buffer = &mut self.read_buffer[..max_bytes.min(MAX_BYTES_PER_CLIENT)];
         let received = self.connections.update(key, |client| client.receive(now, input_age, buffer));
         let event = received.unwrap_or(InputEvent::Discarded);
         if event == InputEvent::DiscardedTooMuch {
@@ -146,13 +156,52 @@
         event
     }
 
+    /// Leaves the input of a connection unread until a later turn.
+    pub(crate) fn leave_unread(&mut self, now: Ms, key: ConnectionKey) {
+        self.connections.update(key, |client| client.leave_unread(now));
+    }
+
+    /// Leaves the next request of a connection to a later turn.
+    pub(crate) fn await_turn(&mut self, key: ConnectionKey) {
+        if self.connections.update(key, ClientConnection::await_turn) == Some(true) {
+            self.awaiting_turn.push_back(key);
+        }
+    }
+
+    /// Returns whether the next request of any connection waits for a later turn.
+    pub(crate) fn has_awaiting_turn(&self) -> bool {
+        !self.awaiting_turn.is_empty()
+    }
+
+    /// Returns the connection whose turn is next, and ends its wait.
+    pub(crate) fn next_turn(&mut self) -> Option<ConnectionKey> {
+        while let Some(key) = self.awaiting_turn.pop_front() {
+            if self.connections.update(key, ClientConnection::end_await_turn) == Some(true) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    /// Stores the input of a connection again, where requests were dropped, as soon as memory is available. `used`: bytes
+    /// of the memory pool that are used.
+    pub(crate) fn resume_storing(&mut self, key: ConnectionKey, budget: MemoryBudget, used: usize) {
+        if self.keeps_input(key, budget, used) {
+            self.connections.update(key, ClientConnection::resume_storing);
+        }
+    }
+
+    fn keeps_input(&self, key: ConnectionKey, budget: MemoryBudget, used: usize) -> bool {
+        let is_busy = self.get(key).is_some_and(ClientConnection::is_busy);
+        let purpose = if is_busy { MemoryPurpose::SentAhead } else { MemoryPurpose::Request };
+        budget.keeps_input(purpose, used)
+    }
+
     /// Limits the input of a connection that has no response yet: to one burst of requests while memory is available,
     /// and to the guaranteed size otherwise. All input is read and each request is counted: otherwise unread input
     /// would hide the client's disconnect. `used`: bytes of the memory pool that are used.
     pub(crate) fn limit_input(&mut self, key: ConnectionKey, budget: MemoryBudget, used: usize) {
-        let Some(client) = self.get(key) else { return };
-        let purpose = if client.is_busy() { MemoryPurpose::SentAhead } else { MemoryPurpose::Request };
-        let keeps_input = budget.keeps_input(purpose, used);
+        let keeps_input = self.keeps_input(key, budget, used);
         self.connections.update(key, |client| match keeps_input {
             true => {
                 client.limit_input(MAX_PIPELINED_BYTES);
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -16,6 +16,7 @@
 use crate::reload::ConfigReload;
 use crate::request_log::ClientCloseReason;
 use crate::signals::SignalSource;
+use crate::turn_budget::MAX_ROUNDS;
 use magpiewick::{EndpointUpdate, Ms};
 use magpiewick_engine::Engine;
 use magpiewick_transport::{Clock, Poll, PollEvents};
@@ -44,6 +45,14 @@
     MayHaveMore,
 }
 
+/// Readable connections by kind.
+#[derive(Default)]
+struct ReadableConnections {
+    discovery: Vec<ConnectionKey>,
+    clients: Vec<ConnectionKey>,
+    upstreams: Vec<ConnectionKey>,
+}
+
 /// Running host.
 pub(crate) struct EventLoop {
     engine: Engine,
@@ -106,7 +115,8 @@
             }
             self.proxy.resume_responses();
             let wake_at = self.wake_at();
-            self.proxy.reactor_mut().wait(&mut poll_events, wake_at)?;
+            let turn_ms = self.proxy.reactor_mut().wait(&mut poll_events, wake_at)?;
+            self.proxy.begin_turn(turn_ms);
             // Runs before anything is sent, because the process may have been stalled for long.
             self.check_list_validity();
             self.dispatch_readable(&poll_events.readable);
@@ -123,6 +133,9 @@
     /// Returns the time at which the loop must run even if no event occurs.
     fn wake_at(&self) -> Ms {
         let (now, shutdown) = (self.proxy.now(), self.proxy.shutdown());
+        if self.proxy.has_pending_work() || self.proxy.has_clients_awaiting_turn() {
+            return now;
+        }
         let times = [
             self.proxy.reactor().next_timer_at(),
             Some(self.discovery.wake_at(now)),
@@ -147,35 +160,51 @@
         self.proxy.clients_are_done(shutdown.exit_at().is_some_and(|at| now >= at))
     }
 
-    /// Reads all readable sources: discovery first, then clients, then endpoints. This order avoids decisions on
-    /// outdated information and responses to clients that have already disconnected.
+    /// Reads the readable sources: discovery first, then clients, then endpoints. This order avoids decisions on outdated
+    /// information and responses to clients that have already disconnected. The turn's limits apply to each kind of
+    /// connection by itself, so that no kind keeps the others from being read.
     fn dispatch_readable(&mut self, readable: &[usize]) {
-        // Open connections in the order of their kinds, then all other sources.
-        let order = |key: &usize| match Source::from(*key) {
-            Source::Connection(key) => {
-                self.proxy.reactor().kind(key).map_or((true, None), |k| (false, Some(k)))
-            }
-            Source::Fixed(_) => (true, None),
-        };
-        let mut keys = readable.to_vec();
-        keys.sort_by_key(order);
-        for key in keys {
-            match Source::from(key) {
+        let mut connections = self.readable_connections(readable);
+        self.proxy.sort_clients_to_read(&mut connections.clients);
+        self.proxy.sort_upstreams_to_read(&mut connections.upstreams);
+        let [discovery, clients, upstreams] =
+            [connections.discovery, connections.clients, connections.upstreams];
+        for key in discovery.into_iter().chain(clients).chain(upstreams) {
+            self.on_readable(key);
+            self.enforce_memory_limit();
+        }
+        for key in readable {
+            match Source::from(*key) {
                 Source::Fixed(LISTENER_KEY) => _ = self.accept(),
                 Source::Fixed(SIGTERM_KEY) => self.on_sigterm(),
                 Source::Fixed(_) => self.on_sighup(),
-                Source::Connection(key) => {
-                    self.on_readable(key);
-                    self.enforce_memory_limit();
-                }
+                Source::Connection(_) => {}
             }
         }
     }
 
+    /// Returns the open connections among the readable sources, by kind.
+    fn readable_connections(&self, readable: &[usize]) -> ReadableConnections {
+        let mut connections = ReadableConnections::default();
+        for key in readable {
+            let Source::Connection(key) = Source::from(*key) else { continue };
+            match self.proxy.reactor().kind(key) {
+                Some(ConnectionKind::Discovery) => connections.discovery.push(key),
+                Some(ConnectionKind::Client) => connections.clients.push(key),
+                Some(ConnectionKind::Upstream) => connections.upstreams.push(key),
+                None => {}
+            }
+        }
+        connections
+    }
+
     fn on_readable(&mut self, key: ConnectionKey) {
         match self.proxy.reactor().kind(key) {
-            Some(ConnectionKind::Client) => self.read_client(key),
-            Some(ConnectionKind::Upstream) => self.proxy.read_upstream(key),
+            Some(ConnectionKind::Client) => {
+                let event = self.proxy.read_client_in_turn(key);
+                self.on_client_event(key, event);
+            }
+            Some(ConnectionKind::Upstream) => self.proxy.read_upstream_in_turn(key),
             Some(ConnectionKind::Discovery) => {
                 if let Some(received) = self.discovery.on_readable(self.proxy.reactor_mut(), key) {
                     self.on_endpoint_list(&received);
@@ -236,22 +265,33 @@
         }
     }
 
-    /// Reports events to the engine and carries out its decisions until no immediate work remains.
+    /// Reports events to the engine and carries out its decisions until no immediate work remains or the turn has had
+    /// its rounds. What remains is done in the next turn, so that clients whose requests are answered at once do not keep
+    /// the loop from its other sources.
     fn run_engine(&mut self) {
         self.run_discovery();
-        loop {
-            for key in self.proxy.take_disconnected_clients() {
-                self.close_client(key, ClientCloseReason::Disconnected);
-            }
-            for (request, outcome) in self.proxy.take_pending_outcomes() {
-                self.engine.on_outcome(self.proxy.now(), request, outcome, &mut self.proxy);
-                self.proxy.release_if_done(request);
-            }
-            self.engine.run(self.proxy.now(), &mut self.proxy);
-            self.flush_clients();
+        self.take_deferred_requests();
+        for _ in 0..MAX_ROUNDS {
+            self.run_round();
             if !self.proxy.has_pending_work() {
                 return;
             }
         }
+        // The answers of the last round are written now; the requests behind them wait.
+        self.proxy.turn_mut().end_rounds();
+        self.flush_clients();
+    }
+
+    fn run_round(&mut self) {
+        self.proxy.turn_mut().on_round();
+        for key in self.proxy.take_disconnected_clients() {
+            self.close_client(key, ClientCloseReason::Disconnected);
+        }
+        for (request, outcome) in self.proxy.take_pending_outcomes() {
+            self.engine.on_outcome(self.proxy.now(), request, outcome, &mut self.proxy);
+            self.proxy.release_if_done(request);
+        }
+        self.engine.run(self.proxy.now(), &mut self.proxy);
+        self.flush_clients();
     }
 }
--- a/crates/platform/src/event_loop/clients.rs
+++ b/crates/platform/src/event_loop/clients.rs
@@ -5,6 +5,12 @@
 use crate::proxy::ClientEvent;
 use crate::reactor::ConnectionKey;
 use crate::request_log::ClientCloseReason;
+use crate::turn_budget::MAX_BYTES_PER_CLIENT_IN_SHUTDOWN;
+use magpiewick_http1::{MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES};
+
+/// Reads that suffice for the largest request.
+const MAX_READS_OF_REQUEST: usize =
+    (MAX_HEAD_BYTES + MAX_REQUEST_BODY_BYTES).div_ceil(MAX_BYTES_PER_CLIENT_IN_SHUTDOWN) + 1;
 
 impl EventLoop {
     /// Accepts a limited number of the waiting connections.
@@ -37,9 +43,16 @@
         }
     }
 
-    pub(super) fn read_client(&mut self, key: ConnectionKey) {
-        let event = self.proxy.read_client(key);
-        self.on_client_event(key, event);
+    /// Reads a client's request as far as it has arrived, whatever the turn's limits, before it is decided that no more
+    /// is read.
+    pub(super) fn read_arrived_request(&mut self, key: ConnectionKey) {
+        for _ in 0..MAX_READS_OF_REQUEST {
+            let event = self.proxy.read_client(key);
+            self.on_client_event(key, event);
+            if !self.proxy.has_unread_rest_of_request(key) {
+                return;
+            }
+        }
     }
 
     pub(super) fn flush_client(&mut self, key: ConnectionKey) {
@@ -47,6 +60,13 @@
         self.on_client_event(key, event);
     }
 
+    /// Takes the requests that earlier turns have left to this one, as far as its limit allows.
+    pub(super) fn take_deferred_requests(&mut self) {
+        while let Some((key, event)) = self.proxy.next_deferred_request() {
+            self.on_client_event(key, event);
+        }
+    }
+
     /// Writes the queued responses, and takes the next pipelined requests of their clients.
     pub(super) fn flush_clients(&mut self) {
         for key in self.proxy.take_clients_to_flush() {
@@ -65,7 +85,7 @@
     /// Handles a client's timer. Input that has just arrived is read before the timeout is evaluated.
     pub(super) fn on_client_timeout(&mut self, key: ConnectionKey, serial: u64) {
         if self.proxy.on_client_timer(key, serial) {
-            self.read_client(key);
+            self.read_arrived_request(key);
         }
         if let Some(reason) = self.proxy.expire_client(key, serial) {
             self.close_client(key, reason);
--- a/crates/platform/src/event_loop/shutdown.rs
+++ b/crates/platform/src/event_loop/shutdown.rs
@@ -21,7 +21,7 @@
         self.listener.close();
         for key in self.proxy.open_clients() {
             // Input that has already arrived is still served; later input is not.
-            self.read_client(key);
+            self.read_arrived_request(key);
             let event = self.proxy.begin_closing_client(key);
             self.on_client_event(key, event);
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -33,6 +33,7 @@
 mod request_registry;
 mod response_stream;
 mod signals;
+mod turn_budget;
 mod upstream_connection;
 mod upstream_pool;
 mod wall_clock;
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -17,6 +17,12 @@
     pub requests_abandoned: u64,
     /// Number of requests that were not accepted, by reason.
     pub requests_refused: BTreeMap<&'static str, u64>,
+    /// Number of times that a client's next request was left to a later turn of the event loop.
+    pub requests_deferred: u64,
+    /// Number of times that the input of a connection was left to a later turn of the event loop.
+    pub reads_deferred: u64,
+    /// Duration of the longest turn of the event loop, in milliseconds.
+    pub longest_turn_ms: f64,
     /// Number of client connections closed for new ones.
     pub clients_evicted: u64,
     /// Number of connections closed because buffers exceeded the memory limit.
--- a/crates/platform/src/proxy.rs
+++ b/crates/platform/src/proxy.rs
@@ -22,6 +22,7 @@
 use crate::reactor::{ConnectionKey, Reactor};
 use crate::request_log::RequestLog;
 use crate::request_registry::{OpenRequest, RequestRegistry};
+use crate::turn_budget::TurnBudget;
 use crate::upstream_pool::UpstreamPool;
 use crate::wall_clock::{unix_time, WallClock};
 use magpiewick::{Answer, MemoryBudget, Ms, Outcome, ReadOrder};
@@ -49,6 +50,7 @@
     read_order: ReadOrder,
     /// Limit of the descriptors of the process.
     max_descriptors: usize,
+    turn: TurnBudget,
     metrics: Metrics,
     log: RequestLog,
     /// Outcomes that are not reported to the engine yet.
@@ -75,6 +77,7 @@
             memory_budget: MemoryBudget::new(config.memory_bytes, config.sockets),
             read_order: ReadOrder::default(),
             max_descriptors: config.sockets.min(descriptor_limit()),
+            turn: TurnBudget::default(),
             metrics: Metrics::default(),
             log: RequestLog::default(),
             pending_outcomes: Vec::new(),
@@ -136,6 +139,22 @@
         self.clients.is_empty() || exit_due && self.clients.none_busy()
     }
 
+    /// Returns the limits of the current turn of the event loop.
+    pub(crate) fn turn_mut(&mut self) -> &mut TurnBudget {
+        &mut self.turn
+    }
+
+    /// Begins a turn of the event loop; `previous_ms`: duration of the previous one.
+    pub(crate) fn begin_turn(&mut self, previous_ms: Ms) {
+        self.turn.begin_turn(previous_ms);
+        self.metrics.longest_turn_ms = self.metrics.longest_turn_ms.max(previous_ms);
+    }
+
+    /// Returns whether requests of clients wait for the next turn, which must then begin at once.
+    pub(crate) fn has_clients_awaiting_turn(&self) -> bool {
+        self.clients.has_awaiting_turn()
+    }
+
     /// Returns whether work for the engine or for clients is pending before the event loop may wait.
     pub(crate) fn has_pending_work(&self) -> bool {
         !self.pending_outcomes.is_empty() || self.clients.has_pending_work()
--- a/crates/platform/src/proxy/clients.rs
+++ b/crates/platform/src/proxy/clients.rs
@@ -1,13 +1,14 @@
 //! Client side of the proxy: connections, requests and responses.
 
 use super::{Proxy, RESERVED_DESCRIPTORS};
-use crate::client_connection::{FlushEvent as ClientFlushEvent, InputEvent, QueueEvent};
+use crate::client_connection::{ClientConnection, FlushEvent as ClientFlushEvent, InputEvent, QueueEvent};
 use crate::client_policy::{self, EvictionCandidate, TimeoutAction};
-use crate::client_pool::DisconnectCheck;
+use crate::client_pool::{ClientPool, DisconnectCheck};
 use crate::incoming_request;
 use crate::reactor::ConnectionKey;
 use crate::request_log::ClientCloseReason;
 use crate::request_registry::OpenRequest;
+use crate::turn_budget::{MAX_BYTES_PER_CLIENT, MAX_BYTES_PER_CLIENT_IN_SHUTDOWN};
 use magpiewick::Ms;
 use magpiewick_engine::IncomingRequest;
 use magpiewick_http1::{self as http1, CompleteRequest, OutgoingResponse, Rejection, RequestHead};
@@ -92,9 +93,38 @@
         self.requests.release_if_done(number);
     }
 
+    /// Sorts clients with input into the order in which this turn reads them: those whose earlier input is answered come
+    /// first.
+    pub(crate) fn sort_clients_to_read(&self, keys: &mut [ConnectionKey]) {
+        let comes_last = |client: &ClientConnection| client.has_pipelined_input() || client.is_closing();
+        let sends_ahead = |key| self.clients.get(key).is_some_and(comes_last);
+        self.turn.clients.sort(keys, sends_ahead);
+    }
+
+    /// Reads input from a client, unless its next request waits for a turn or this turn has read as much as it may.
+    /// Reading further requests of a waiting client would cost each turn more than the requests that it answers.
+    pub(crate) fn read_client_in_turn(&mut self, key: ConnectionKey) -> ClientEvent {
+        let awaits_turn = self.clients.get(key).is_some_and(ClientConnection::awaits_turn);
+        if awaits_turn || !self.turn.clients.may_read(key) {
+            self.metrics.reads_deferred += 1;
+            self.clients.leave_unread(self.reactor.now(), key);
+            return ClientEvent::None;
+        }
+        let total_read = |clients: &ClientPool| clients.get(key).map_or(0, ClientConnection::total_read);
+        let before = total_read(&self.clients);
+        let event = self.read_client(key);
+        self.turn.clients.on_read(total_read(&self.clients).saturating_sub(before) as usize);
+        event
+    }
+
     /// Reads input from a client.
     pub(crate) fn read_client(&mut self, key: ConnectionKey) -> ClientEvent {
-        match self.clients.receive(&mut self.reactor, key) {
+        self.clients.resume_storing(key, self.memory_budget, self.pool_use());
+        let max_bytes = match self.shutdown.has_begun() {
+            true => MAX_BYTES_PER_CLIENT_IN_SHUTDOWN,
+            false => MAX_BYTES_PER_CLIENT,
+        };
+        match self.clients.receive(&mut self.reactor, key, max_bytes) {
             InputEvent::Disconnected => ClientEvent::Disconnected,
             InputEvent::Discarded | InputEvent::DiscardedTooMuch => ClientEvent::None,
             InputEvent::Queued => {
@@ -105,6 +135,17 @@
         }
     }
 
+    /// Returns whether a part of a client's request was read, and more input has arrived.
+    pub(crate) fn has_unread_rest_of_request(&self, key: ConnectionKey) -> bool {
+        let has_rest = |client: &ClientConnection| {
+            !client.is_busy()
+                && client.has_pipelined_input()
+                && client.is_reading()
+                && client.has_unread_input()
+        };
+        self.clients.get(key).is_some_and(has_rest)
+    }
+
     /// Writes the queued output of a client, and continues with its queue.
     pub(crate) fn flush_client(&mut self, key: ConnectionKey) -> ClientEvent {
         match self.clients.flush(&mut self.reactor, key) {
@@ -114,8 +155,29 @@
                 self.clients.linger(&mut self.reactor, key);
                 ClientEvent::None
             }
-            Some(ClientFlushEvent::Idle) => self.next_request(key),
+            Some(ClientFlushEvent::Idle) => self.next_request_in_turn(key),
+        }
+    }
+
+    /// Takes the next request of a client that sends ahead, unless this turn has taken as many as it may.
+    fn next_request_in_turn(&mut self, key: ConnectionKey) -> ClientEvent {
+        let sends_ahead = self.clients.get(key).is_some_and(ClientConnection::has_pipelined_input);
+        if sends_ahead && !self.turn.take_request() {
+            self.metrics.requests_deferred += 1;
+            self.clients.await_turn(key);
+            return ClientEvent::None;
+        }
+        self.next_request(key)
+    }
+
+    /// Takes the next request of the client whose turn is next; none where no client waits or this turn may take no
+    /// further request.
+    pub(crate) fn next_deferred_request(&mut self) -> Option<(ConnectionKey, ClientEvent)> {
+        if !self.turn.has_request_left() {
+            return None;
         }
+        let key = self.clients.next_turn()?;
+        Some((key, self.next_request_in_turn(key)))
     }
 
     /// Takes the next request of a client if it is complete and no request is open.
@@ -212,6 +274,7 @@
         let now = self.reactor.now();
         let host_closed = self.shutdown.is_closed(now);
         let Some(queued) = self.clients.queue_response(now, key, response, host_closed) else { return };
+        self.turn.on_answer();
         let serial = self.clients.get(key).map_or(0, |client| client.serial());
         self.log.response_queued(serial, queued.request, response.status, queued.close);
     }
--- a/crates/platform/src/proxy/upstreams.rs
+++ b/crates/platform/src/proxy/upstreams.rs
@@ -12,7 +12,7 @@
 use crate::upstream_connection::{
     AssignedAttempt, FlushEvent, ReceiveEvent, UpstreamConnection, RESPONSE_STALL_MS,
 };
-use crate::upstream_pool::ResponseProgress;
+use crate::upstream_pool::{ResponseProgress, UpstreamPool};
 use crate::wall_clock::unix_time;
 use magpiewick::{Endpoint, Ms, Outcome};
 use magpiewick_exchange::{ReceivedResponse, ResponseMismatch};
@@ -198,6 +198,24 @@
         Ok(())
     }
 
+    /// Sorts connections to endpoints with input into the order in which this turn reads them.
+    pub(crate) fn sort_upstreams_to_read(&self, keys: &mut [ConnectionKey]) {
+        self.turn.upstreams.sort(keys, |_| false);
+    }
+
+    /// Reads input from an endpoint, unless this turn has read as much as it may.
+    pub(crate) fn read_upstream_in_turn(&mut self, key: ConnectionKey) {
+        if !self.turn.upstreams.may_read(key) {
+            self.metrics.reads_deferred += 1;
+            return;
+        }
+        let total_read =
+            |upstreams: &UpstreamPool| upstreams.get(key).map_or(0, UpstreamConnection::total_read);
+        let before = total_read(&self.upstreams);
+        self.read_upstream(key);
+        self.turn.upstreams.on_read(total_read(&self.upstreams).saturating_sub(before) as usize);
+    }
+
     /// Reads input from an endpoint.
     pub(crate) fn read_upstream(&mut self, key: ConnectionKey) {
         let now = self.reactor.now();
--- a/crates/platform/src/reactor.rs
+++ b/crates/platform/src/reactor.rs
@@ -2,7 +2,7 @@
 
 use magpiewick::Ms;
 use magpiewick_engine::StallDetector;
-use magpiewick_transport::{Clock, Poll, PollEvents, Stream, Timers};
+use magpiewick_transport::{Clock, LoopDelay, Poll, PollEvents, Stream, Timers};
 use slab::Slab;
 use std::io;
 
@@ -66,6 +66,7 @@
     now: Ms,
     input_age: Ms,
     stall_detector: StallDetector,
+    delay: LoopDelay,
     timers: Timers<Timer>,
     connections: Slab<ConnectionKind>,
     last_serial: u64,
@@ -82,6 +83,7 @@
             now,
             input_age: 0.0,
             stall_detector: StallDetector::new(now, action_interval),
+            delay: LoopDelay::start(now),
             timers: Timers::default(),
             connections: Slab::new(),
             last_serial: 0,
@@ -103,16 +105,18 @@
         self.input_age
     }
 
-    /// Waits for events until `wake_at`, and begins a new iteration.
-    pub(crate) fn wait(&mut self, poll_events: &mut PollEvents, wake_at: Ms) -> io::Result<()> {
+    /// Waits for events until `wake_at`, and begins a new iteration. Returns the duration of the one that ends.
+    pub(crate) fn wait(&mut self, poll_events: &mut PollEvents, wake_at: Ms) -> io::Result<Ms> {
         let now = self.clock.now();
         let sleep = (wake_at - now).clamp(0.0, MAX_POLL_WAIT_MS);
         self.stall_detector.on_sleep(now, sleep);
+        let turn_ms = self.delay.on_sleep(now, now + sleep);
         self.poll.wait(poll_events, Some(Clock::duration_until(now, now + sleep)))?;
         self.now = self.clock.now();
         self.stall_detector.on_wake(self.now);
+        self.delay.on_wake(self.now);
         self.input_age = self.stall_detector.max_request_age();
-        Ok(())
+        Ok(turn_ms)
     }
 
     /// Returns a serial number that no other connection of this process has.
--- a/crates/platform/src/upstream_connection.rs
+++ b/crates/platform/src/upstream_connection.rs
@@ -147,6 +147,16 @@
         matches!(self.state, UpstreamState::InFlight { end_offset, .. } if written >= end_offset)
     }
 
+    /// Returns the number of bytes read since the start of the connection.
+    pub(crate) fn total_read(&self) -> u64 {
+        self.responses.stream().total_read()
+    }
+
+    /// Returns whether bytes of a response have arrived that were not read yet.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.responses.stream().has_unread()
+    }
+
     /// Returns the attempt that the connection carries.
     pub(crate) fn attempt(&self) -> Option<CarriedAttempt> {
         match self.state {
--- a/crates/platform/src/upstream_pool.rs
+++ b/crates/platform/src/upstream_pool.rs
@@ -211,7 +211,8 @@
         let has_serial = |connection: &&UpstreamConnection| connection.serial() == serial;
         let Some(connection) = self.get(key).filter(has_serial) else { return ResponseProgress::Ongoing };
         match connection.partial_since() {
-            Some(_) if connection.is_read_paused() => {
+            // Bytes that this host has not read yet are no sign of a stalled endpoint.
+            Some(_) if connection.is_read_paused() || connection.has_unread() => {
                 reactor.set_timer(reactor.now() + RESPONSE_STALL_MS, Timer::ResponseStall(key, serial));
                 ResponseProgress::Ongoing
             }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod loop_delay;
 mod poll;
+mod read_share;
 mod stream;
 mod timers;
 
@@ -16,6 +17,7 @@
 };
 pub use loop_delay::LoopDelay;
 pub use poll::{Poll, PollEvents, Registered};
+pub use read_share::ReadShare;
 pub use stream::{Stream, StreamEnd, MAX_BYTES_PER_FILL};
 pub use timers::{Clock, Timers};
 
--- /dev/null
+++ b/crates/transport/src/read_share.rs
@@ -0,0 +1,54 @@
+//! Limit of the bytes that an event loop reads in one turn, shared fairly by connections.
+
+/// Connections of one kind that share a limit of the bytes read in a turn. Connections that a turn passes over come
+/// first in the next one.
+#[derive(Debug)]
+pub struct ReadShare {
+    max_bytes: usize,
+    bytes_left: usize,
+    /// Lowest key that is read first.
+    first_key: usize,
+    is_exhausted: bool,
+}
+
+impl ReadShare {
+    /// Creates a share. `max_bytes`: bytes after which a turn reads from no further connection.
+    pub fn new(max_bytes: usize) -> ReadShare {
+        ReadShare { max_bytes, bytes_left: max_bytes, first_key: 0, is_exhausted: false }
+    }
+
+    /// Begins a turn.
+    pub fn begin_turn(&mut self) {
+        (self.bytes_left, self.is_exhausted) = (self.max_bytes, false);
+    }
+
+    /// Sorts connections into the order in which this turn reads them. `comes_last`: whether a connection is read after
+    /// all others.
+    pub fn sort(&self, keys: &mut [usize], comes_last: impl Fn(usize) -> bool) {
+        keys.sort_by_key(|key| (comes_last(*key), *key < self.first_key, *key));
+    }
+
+    /// Returns whether a connection may be read in this turn. The first one that may not is read first in the next.
+    pub fn may_read(&mut self, key: usize) -> bool {
+        if self.bytes_left > 0 {
+            return true;
+        }
+        if !self.is_exhausted {
+            (self.is_exhausted, self.first_key) = (true, key);
+        }
+        false
+    }
+
+    /// Counts bytes that were read from a connection.
+    pub fn on_read(&mut self, bytes: usize) {
+        self.bytes_left = self.bytes_left.saturating_sub(bytes);
+    }
+
+    /// Returns the bytes that this turn has read.
+    pub fn used(&self) -> usize {
+        self.max_bytes - self.bytes_left
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/transport/src/read_share/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+use quickcheck::quickcheck;
+use std::collections::BTreeMap;
+
+/// Reads all connections in turns; each read takes the given bytes. Returns the number of reads by connection.
+fn read_counts(keys: &[usize], bytes: usize, turns: usize) -> BTreeMap<usize, usize> {
+    let (mut share, mut counts) = (ReadShare::new(1000), BTreeMap::new());
+    for _ in 0..turns {
+        share.begin_turn();
+        let mut ready = keys.to_vec();
+        share.sort(&mut ready, |_| false);
+        for key in ready {
+            if share.may_read(key) {
+                share.on_read(bytes);
+                *counts.entry(key).or_insert(0) += 1;
+            }
+        }
+    }
+    counts
+}
+
+quickcheck! {
+    /// However much connections send, no turn reads more than its limit and one read, and all are read in rotation.
+    fn passed_over_connections_come_first_in_the_next_turn(count: u8, bytes: u16) -> bool {
+        let keys: Vec<usize> = (0..usize::from(count % 50) + 1).map(|n| n * 3).collect();
+        let bytes = usize::from(bytes % 1200) + 1;
+        let per_turn = 1000_usize.div_ceil(bytes).min(keys.len());
+        let turns = keys.len() * 2;
+        let counts = read_counts(&keys, bytes, turns);
+        let total: usize = counts.values().sum();
+        let (least, most) = (counts.values().min(), counts.values().max());
+        let spread = most.zip(least).map_or(0, |(most, least)| most - least);
+        total == per_turn * turns && counts.len() == keys.len() && spread <= 1
+    }
+}
+
+#[test]
+fn connections_with_waiting_input_are_read_after_the_others() {
+    let share = ReadShare::new(1000);
+    let mut keys = vec![4, 1, 3, 2];
+    share.sort(&mut keys, |key| key < 3);
+    assert_eq!(keys, [3, 4, 1, 2]);
+}
--- a/crates/transport/src/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -34,6 +34,8 @@
     written: usize,
     /// Number of bytes that have been removed from the output since the start of the stream.
     removed: u64,
+    /// Number of bytes read since the start of the stream.
+    total_read: u64,
     reading: bool,
     /// Set until the connection is established.
     connecting: bool,
@@ -69,6 +71,7 @@
             output: Vec::new(),
             written: 0,
             removed: 0,
+            total_read: 0,
             reading: true,
             connecting,
         })
@@ -112,7 +115,10 @@
         loop {
             return match self.socket.read(buffer) {
                 Ok(0) => (0, Some(StreamEnd::Closed)),
-                Ok(length) => (length, None),
+                Ok(length) => {
+                    self.total_read += length as u64;
+                    (length, None)
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => (0, None),
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) => (0, Some(e.into())),
@@ -120,6 +126,11 @@
         }
     }
 
+    /// Returns the number of bytes read since the start of the stream.
+    pub fn total_read(&self) -> u64 {
+        self.total_read
+    }
+
     /// Returns the bytes that were read and not yet used.
     pub fn input(&self) -> &[u8] {
         &self.input
