Limit the work that a turn of serve does for clients

Callers of serve saw late answers while other clients sent thousands of rejected requests at once. Cause: as on the platform, a turn handled all that clients had sent, up to 256 KiB from each.

Change: a turn reads 16 to 64 KiB from a client and 1 MiB from all, in rotation (ReadShare), and counts each message as 256 bytes more.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -191,7 +191,16 @@
     /// Reads the available bytes of a connection; returns all unconsumed bytes, and the reason where the
     /// connection has ended. Returns none where the connection waits for memory or is closed.
     pub(crate) fn read(&mut self, key: usize) -> Option<(Vec<u8>, Option<StreamEnd>)> {
-        let max = self.memory.read_limit(key, self.requests.payload_bytes(), MAX_BYTES_PER_FILL);
+        self.read_up_to(key, MAX_BYTES_PER_FILL)
+    }
+
+    /// Reads at most `max_bytes` of a connection, like [`Connections::read`].
+    pub(crate) fn read_up_to(
+        &mut self,
+        key: usize,
+        max_bytes: usize,
+    ) -> Option<(Vec<u8>, Option<StreamEnd>)> {
+        let max = self.memory.read_limit(key, self.requests.payload_bytes(), max_bytes);
         if max == 0 {
             self.wait_for_memory(key);
             return None;
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -18,7 +18,7 @@
 use crate::upstream_pool::CloseReason;
 use magpiewick::{Answer, EndpointUpdate, Ms, Outcome};
 use magpiewick_engine::{Engine, StallDetector};
-use magpiewick_transport::{Clock, LoopDelay, Poll, PollEvents};
+use magpiewick_transport::{Clock, LoopDelay, Poll, PollEvents, ReadShare};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -49,6 +49,8 @@
     shutdown: GracefulShutdown,
     /// Set while the host does not read from clients, as the maximum number of requests is pending.
     at_capacity: bool,
+    /// Limit of the work that a turn does for clients.
+    client_reads: ReadShare,
     stall_detector: StallDetector,
     delay: LoopDelay,
 }
@@ -89,6 +91,7 @@
             shutdown: GracefulShutdown::new(shutdown_signal, &poll)?,
             poll,
             at_capacity: false,
+            client_reads: ReadShare::new(client_events::MAX_CLIENT_BYTES),
             stall_detector: StallDetector::new(now, config.scheduler.action_interval),
             delay: LoopDelay::start(now),
             config,
@@ -157,7 +160,7 @@
         readable(Source::Node).for_each(|key| self.on_node_readable(key));
         readable(Source::Gossip).for_each(|_| self.on_gossip_readable());
         self.run_timers();
-        readable(Source::Client).for_each(|key| self.on_client_readable(key));
+        self.read_clients(readable(Source::Client).collect());
         readable(Source::Listener).for_each(|_| self.listener.accept_all(&mut self.connections));
         readable(Source::ShutdownSignal).for_each(|_| self.on_shutdown_signal());
         self.run_engine();
--- a/crates/gateway/src/event_loop/client_events.rs
+++ b/crates/gateway/src/event_loop/client_events.rs
@@ -4,6 +4,7 @@
 use crate::protocol_error::{for_each_frame, ProtocolError};
 use crate::request_registry::is_split_read;
 use magpiewick_node_protocol::{DecodeError, Message, Role, VERSION};
+use magpiewick_transport::MAX_BYTES_PER_FILL;
 
 /// Reason why no further messages of a client are processed.
 #[derive(Debug, thiserror::Error)]
@@ -21,9 +22,31 @@
     }
 }
 
+/// Bytes that a turn reads from one client: its share of the bytes of all clients, within these bounds.
+const MIN_BYTES_PER_CLIENT: usize = 16 << 10;
+const MAX_BYTES_PER_CLIENT: usize = 64 << 10;
+/// Bytes after which a turn reads from no further client, and the bytes as which the work on one message counts.
+pub(super) const MAX_CLIENT_BYTES: usize = 1 << 20;
+const MESSAGE_COST_BYTES: usize = 256;
+
 impl Gateway {
-    pub(super) fn on_client_readable(&mut self, key: usize) {
-        let Some((input, stream_end)) = self.connections.read(key) else { return };
+    /// Reads the readable clients in rotation, until the turn has read as much as it may: the messages of all clients
+    /// are handled before the next event of any other kind.
+    pub(super) fn read_clients(&mut self, mut keys: Vec<usize>) {
+        self.client_reads.begin_turn();
+        self.client_reads.sort(&mut keys, |_| false);
+        let share = MAX_CLIENT_BYTES / keys.len().max(1);
+        let max_bytes = share.clamp(MIN_BYTES_PER_CLIENT, MAX_BYTES_PER_CLIENT);
+        for key in keys {
+            if self.client_reads.may_read(key) {
+                self.read_client(key, max_bytes);
+            }
+        }
+    }
+
+    fn read_client(&mut self, key: usize, max_bytes: usize) {
+        let Some((input, stream_end)) = self.connections.read_up_to(key, max_bytes) else { return };
+        self.client_reads.on_read(input.len().min(max_bytes));
         if !self.shutdown.is_lingering() {
             self.handle_client_input(key, input);
         }
@@ -59,6 +82,7 @@
     }
 
     fn on_client_message(&mut self, key: usize, message: Message<'_>) -> Result<(), InputStopReason> {
+        self.client_reads.on_read(MESSAGE_COST_BYTES);
         match message {
             Message::Request(_) if self.pending() >= self.config.limits.max_pending_requests => {
                 return Err(InputStopReason::AtCapacity);
@@ -86,7 +110,7 @@
         }
         // The remainder of the frame may have just arrived.
         if self.connections.clients().is_partial_frame_late(key, serial) {
-            self.on_client_readable(key);
+            self.read_client(key, MAX_BYTES_PER_FILL);
         }
         if self.connections.clients().is_partial_frame_late(key, serial) {
             self.on_client_disconnect(key, &"frame not completed in time");
