Bound the flows that a node's queue remembers

Cause: a flow is remembered for 2 s, and each request removes expired flows from all and sums the weights of all, so that requests of ever new volumes cost ever more.

Change: beyond 1,024 flows without a queued request, the half that has been idle longest is forgotten. Up to there each sum is the same as before.

--- a/src/scheduler/fair_queueing.rs
+++ b/src/scheduler/fair_queueing.rs
@@ -11,6 +11,9 @@
 /// Time after the last request of a flow during which the flow counts in the sum of the weights at a
 /// node.
 const FLOW_EXPIRY: Ms = 2000.0;
+/// Largest number of flows without a queued request that a queue remembers. Each request looks at all flows, so that
+/// requests of ever new volumes would cost ever more.
+const MAX_IDLE_FLOWS: usize = 1024;
 /// Least weight; tags are divided by weights, so none may be zero.
 const MIN_WEIGHT: f64 = 1e-6;
 
@@ -114,12 +117,30 @@
     }
 
     /// Drops flows that have no queued request, no recent request, and no service ahead of the system
-    /// potential.
+    /// potential. Beyond [`MAX_IDLE_FLOWS`], the half that has been idle longest is dropped as well.
     fn remove_idle_flows(&mut self, now: Ms) {
         let potential = self.potential;
+        let mut idle = 0;
         self.flows.retain(|_, flow| {
-            flow.queued > 0 || now - flow.last_request_at < FLOW_EXPIRY || flow.last_finish > potential
+            let is_idle = flow.queued == 0;
+            let remains =
+                !is_idle || now - flow.last_request_at < FLOW_EXPIRY || flow.last_finish > potential;
+            idle += usize::from(is_idle && remains);
+            remains
         });
+        if idle > MAX_IDLE_FLOWS {
+            self.remove_longest_idle_flows(idle / 2);
+        }
+    }
+
+    fn remove_longest_idle_flows(&mut self, count: usize) {
+        let idle = self.flows.iter().filter(|(_, flow)| flow.queued == 0);
+        let mut idle: Vec<(i64, (usize, bool))> =
+            idle.map(|(key, flow)| (total_order_key(flow.last_request_at), *key)).collect();
+        idle.sort_unstable();
+        for (_, key) in idle.into_iter().take(count) {
+            self.flows.remove(&key);
+        }
     }
 
     /// Removes a request that leaves unsent: decrements the counter of its frame and does not charge its
@@ -181,3 +202,6 @@
     });
     weights.fold(f64::INFINITY, f64::min)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/scheduler/fair_queueing/tests.rs
@@ -0,0 +1,53 @@
+use super::super::pending_request::RequestState;
+use super::*;
+use crate::types::Request;
+
+fn entry(request: usize, volume: usize) -> QueueEntry {
+    QueueEntry { request, arrival: request as u64, volume, reserved: false, units: 1.0, weight: 1.0 }
+}
+
+fn pending(request: usize, volume: usize, tag: Tag) -> PendingRequest {
+    let request_of_volume = Request {
+        class: 0,
+        policy: 0,
+        volume,
+        key: None,
+        units: 1.0,
+        shard: Some(0),
+        hosts: 1.0,
+        client_timeout: 1000.0,
+        budget_weight: 1.0,
+        coalesce_with: None,
+    };
+    PendingRequest {
+        request: request_of_volume,
+        arrival: request as u64,
+        state: RequestState::Queued(0),
+        tag,
+        expires_at: 1000.0,
+        deadline: 1000.0,
+        attempts: 0,
+        uncertain_attempt: None,
+        earliest_retry_at: 0.0,
+        has_tokens: false,
+        queue_entry: 0,
+    }
+}
+
+/// Guards against requests of ever new volumes that cost ever more, since each looks at the flows of all others.
+#[test]
+fn flows_of_ever_new_volumes_are_bounded_and_those_with_requests_are_kept() {
+    const BOUNDS: FrameBounds = FrameBounds { max_batch_units: 6.0, least_weight: 1.0 };
+    const WAITING: usize = 50;
+    let mut queue = FairQueue::default();
+    (0..WAITING).for_each(|volume| _ = queue.enqueue(0.0, &entry(volume, volume), &BOUNDS));
+    for number in WAITING..20_000 {
+        let now = number as f64 / 100.0;
+        let tag = queue.enqueue(now, &entry(number, number), &BOUNDS);
+        queue.remove_unsent(number, &pending(number, number, tag));
+        assert!(queue.flows.len() <= MAX_IDLE_FLOWS + WAITING + 1, "{} flows", queue.flows.len());
+    }
+    assert!((0..WAITING).all(|volume| queue.flows.contains_key(&(volume, false))));
+    assert_eq!(queue.requests().count(), WAITING);
+    assert!(queue.flows.contains_key(&(19_999, false)), "the latest flows are remembered");
+}
