Bound and name the tables that have entries for clients' names

Cause: the engine remembers up to 200,000 keys whatever the host, and state by volume; both have limits, but none that fits a small host. What no owner names counts as free memory, which the host asked the allocator for twice a second in vain.

Change: the driver states how many keys may be in use, 20,000 on the platform; memory_reported names the tables, and they no longer count as memory that the allocator retains.

That it grows without end is not shown: memory_does_not_grow_with_new_ids was green before.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -40,18 +40,30 @@
 }
 
 impl Engine {
-    /// Creates an engine without requests and nodes.
+    /// Creates an engine without requests and nodes, which may have up to 100,000 keys in use.
     pub fn new(config: SchedulerConfig, now: Ms) -> Engine {
+        Engine::with_max_keys(config, now, MAX_KEYS)
+    }
+
+    /// Creates an engine without requests and nodes. `max_keys`: largest number of keys in use at a time, of which a
+    /// client may choose ever new ones. The engine remembers up to twice as many.
+    pub fn with_max_keys(config: SchedulerConfig, now: Ms, max_keys: usize) -> Engine {
         Engine {
             scheduler: Scheduler::new(config, now),
             nodes: NodeTable::default(),
             volumes: RecentIdTable::new(MAX_VOLUMES),
-            keys: RecentIdTable::new(MAX_KEYS),
+            keys: RecentIdTable::new(max_keys),
             requests: RequestTable::default(),
             batch: Vec::new(),
         }
     }
 
+    /// Returns the approximate memory of the tables that have entries for names that clients choose.
+    #[must_use]
+    pub fn table_bytes(&self) -> usize {
+        self.volumes.memory_bytes() + self.keys.memory_bytes() + self.scheduler.volume_state_bytes()
+    }
+
     /// Returns the number of requests that have no final answer or still have an attempt in flight.
     #[must_use]
     pub fn pending(&self) -> usize {
--- a/crates/engine/src/id_table.rs
+++ b/crates/engine/src/id_table.rs
@@ -54,6 +54,12 @@
         index
     }
 
+    /// Returns the approximate memory of the table.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let entries = self.current.capacity() + self.previous.capacity();
+        entries * size_of::<(u64, usize)>() + self.free_indices.capacity() * size_of::<usize>()
+    }
+
     /// Evicts the previous generation and replaces it by the current one.
     fn start_generation(&mut self) {
         let evicted = std::mem::replace(&mut self.previous, std::mem::take(&mut self.current));
--- a/crates/engine/tests/final_answers.rs
+++ b/crates/engine/tests/final_answers.rs
@@ -196,37 +196,42 @@
     line.trim().trim_end_matches(" kB").parse().unwrap()
 }
 
+/// Serves requests, each with a new id, volume and key.
+fn serve_new_names(engine: &mut Engine, environment: &mut Recorder, ids: std::ops::Range<u64>) {
+    for id in ids {
+        let now = id as f64 * 10.0;
+        let (client_timeout, units) = (400.0, 1.0);
+        let (class, policy, volume, key, shard) = ((id % 2) as usize, 0, 0, None, Some(0));
+        let (hosts, budget_weight, coalesce_with) = (1.0, 1.0, None);
+        let request = Request {
+            class,
+            policy,
+            volume,
+            key,
+            units,
+            shard,
+            hosts,
+            client_timeout,
+            budget_weight,
+            coalesce_with,
+        };
+        engine.submit(now, IncomingRequest { id, key: id, volume: id, request }, environment);
+        engine.run(now, environment);
+        while !environment.in_flight.is_empty() {
+            report_outcome(engine, environment, now, 0, Outcome::Succeeded);
+        }
+        environment.finished.clear();
+    }
+    assert_eq!((engine.pending(), &environment.violation), (0, &None));
+}
+
 #[test]
 fn memory_does_not_grow_with_new_ids() {
     let (mut engine, mut environment) = (Engine::new(scheduler_config(), 0.0), Recorder::default());
     let endpoint = magpiewick::Endpoint::default();
     engine.on_endpoint_update(0.0, EndpointUpdate::Snapshot, &[(1, endpoint)]);
-    let mut serve = |ids: std::ops::Range<u64>| {
-        for id in ids {
-            let now = id as f64 * 10.0;
-            let (client_timeout, units) = (400.0, 1.0);
-            let (class, policy, volume, key, shard) = ((id % 2) as usize, 0, 0, None, Some(0));
-            let (hosts, budget_weight, coalesce_with) = (1.0, 1.0, None);
-            let request = Request {
-                class,
-                policy,
-                volume,
-                key,
-                units,
-                shard,
-                hosts,
-                client_timeout,
-                budget_weight,
-                coalesce_with,
-            };
-            engine.submit(now, IncomingRequest { id, key: id, volume: id, request }, &mut environment);
-            engine.run(now, &mut environment);
-            while !environment.in_flight.is_empty() {
-                report_outcome(&mut engine, &mut environment, now, 0, Outcome::Succeeded);
-            }
-            environment.finished.clear();
-        }
-        assert_eq!((engine.pending(), &environment.violation), (0, &None));
+    let mut serve = |ids| {
+        serve_new_names(&mut engine, &mut environment, ids);
         resident_kb()
     };
     // The number of ids is sufficient for every bounded structure to reach its bound.
@@ -234,3 +239,19 @@
     let growth_kb = serve(250_000..500_000).saturating_sub(initial_kb);
     assert!(growth_kb < 4096, "{growth_kb} kB more after the same number of requests again");
 }
+
+/// Guards against tables that no report names, and that a small host has no memory for.
+#[test]
+fn tables_of_a_small_host_are_reported_and_stay_small() {
+    let mut environment = Recorder::default();
+    let mut engine = Engine::with_max_keys(scheduler_config(), 0.0, 20_000);
+    engine.on_endpoint_update(0.0, EndpointUpdate::Snapshot, &[(1, magpiewick::Endpoint::default())]);
+    // The memory that a host may have beside its buffers.
+    const SMALL_HOST_BYTES: usize = 32 << 20;
+    let before = engine.table_bytes();
+    serve_new_names(&mut engine, &mut environment, 1..250_000);
+    let after = engine.table_bytes();
+    assert!(before < 1 << 16, "{before} bytes at the start");
+    assert!(after > 1 << 20, "{after} bytes are reported");
+    assert!(after < SMALL_HOST_BYTES * 15 / 100, "{after} bytes");
+}
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -31,6 +31,9 @@
 /// Limit of the batches accepted when the host closes its listener: the operating system queues at most some hundreds
 /// of connections.
 const MAX_ACCEPT_BATCHES_AT_CLOSE: usize = 64;
+/// Largest number of keys in use at a time: clients have some hundreds of requests open, and a key stays in use for a
+/// quiet period of a second at most after its request.
+const MAX_KEYS: usize = 20_000;
 /// Interval between reports of the counters.
 const METRICS_INTERVAL_MS: Ms = 5000.0;
 /// Time after the start when a host without an endpoint list is ready even if discovery does not answer.
@@ -87,7 +90,7 @@
             reload: ConfigReload::new(path.to_path_buf(), &config),
             next_metrics_at: now + METRICS_INTERVAL_MS,
             memory_reporter: MemoryReporter::new(config.memory_bytes),
-            engine: Engine::new(config.scheduler.clone(), now),
+            engine: Engine::with_max_keys(config.scheduler.clone(), now, MAX_KEYS),
         };
         event_loop.restore_endpoint_list(&config);
         Ok(event_loop)
--- a/crates/platform/src/event_loop/memory.rs
+++ b/crates/platform/src/event_loop/memory.rs
@@ -14,14 +14,15 @@
         if self.memory_reporter.is_new_peak(resident) {
             self.report_memory(Some(resident));
         }
-        let retains_too_much = self.proxy.retains_too_much(resident, self.discovery.memory_bytes());
+        let others = self.discovery.memory_bytes() + self.engine.table_bytes();
+        let retains_too_much = self.proxy.retains_too_much(resident, others);
         if retains_too_much && self.memory_reporter.begin_release(now) {
             release_free_memory();
         }
     }
 
     pub(super) fn report_memory(&mut self, resident: Option<usize>) {
-        let owners = self.proxy.memory_by_owner(self.discovery.memory_bytes());
+        let owners = self.proxy.memory_by_owner(self.discovery.memory_bytes(), self.engine.table_bytes());
         self.memory_reporter.report(&owners, resident);
     }
 
--- a/crates/platform/src/memory_report.rs
+++ b/crates/platform/src/memory_report.rs
@@ -28,13 +28,15 @@
     pub upstream: usize,
     /// Responses from discovery.
     pub discovery: usize,
+    /// Tables with entries for names that clients choose, such as volumes and keys.
+    pub tables: usize,
 }
 
 impl MemoryByOwner {
     /// Returns the bytes of all owners together.
     pub(crate) fn total(&self) -> usize {
         let clients = self.read_buffers + self.pipelined_input + self.open_requests + self.queued_responses;
-        clients + self.upstream + self.discovery
+        clients + self.upstream + self.discovery + self.tables
     }
 }
 
--- a/crates/platform/src/proxy.rs
+++ b/crates/platform/src/proxy.rs
@@ -198,16 +198,18 @@
     }
 
     /// Returns whether free memory that the allocator retains should be released. `resident`: memory of the process;
-    /// `discovery`: buffers of the connections to discovery.
-    pub(crate) fn retains_too_much(&self, resident: usize, discovery: usize) -> bool {
-        self.memory_budget.retains_too_much(resident, self.buffered_bytes() + discovery)
+    /// `others`: memory of owners other than the proxy.
+    pub(crate) fn retains_too_much(&self, resident: usize, others: usize) -> bool {
+        self.memory_budget.retains_too_much(resident, self.buffered_bytes() + others)
     }
 
-    /// Returns the memory of the process by owner. `discovery`: buffers of the connections to discovery.
-    pub(crate) fn memory_by_owner(&self, discovery: usize) -> MemoryByOwner {
+    /// Returns the memory of the process by owner. `discovery`: buffers of the connections to discovery; `tables`: memory
+    /// of the engine's tables.
+    pub(crate) fn memory_by_owner(&self, discovery: usize, tables: usize) -> MemoryByOwner {
         let upstream = self.upstreams.buffer_use().total;
         let read_buffers = self.clients.read_buffer_bytes();
-        let mut owners = MemoryByOwner { read_buffers, upstream, discovery, ..MemoryByOwner::default() };
+        let mut owners =
+            MemoryByOwner { read_buffers, upstream, discovery, tables, ..MemoryByOwner::default() };
         self.clients.iter().for_each(|(_, client)| client.add_memory_to(&mut owners));
         owners
     }
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -134,6 +134,11 @@
 }
 
 impl ReserveCoverage {
+    /// Returns the approximate memory of the buckets.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.buckets.len() * size_of::<(usize, TokenBucket)>()
+    }
+
     /// Returns whether the reserve covers a request, as far as this host can tell, and takes the
     /// request's units if it does. Where nodes do not report the units served through other hosts, this
     /// host's part of the reserve is the reserve divided by the square root of the number of the volume's
--- a/src/scheduler/fair_queueing.rs
+++ b/src/scheduler/fair_queueing.rs
@@ -75,6 +75,11 @@
 }
 
 impl FairQueue {
+    /// Returns the approximate memory of the flows.
+    pub(super) fn flow_bytes(&self) -> usize {
+        self.flows.len() * size_of::<((usize, bool), Flow)>()
+    }
+
     /// Returns whether no request is queued.
     pub(super) fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns the approximate memory of the state that is kept by volume.
+    pub fn volume_state_bytes(&self) -> usize {
+        self.rate_limits.memory_bytes() + self.reserves.memory_bytes() + self.nodes.flow_bytes()
+    }
+
     /// Decides where to send a request. Called when the request arrives, and each time
     /// [`Scheduler::next_action`] names it.
     pub fn route(&mut self, now: Ms, id: usize, request: &Request) -> RouteDecision {
--- a/src/scheduler/node.rs
+++ b/src/scheduler/node.rs
@@ -89,6 +89,11 @@
 }
 
 impl Nodes {
+    /// Returns the approximate memory of the flows of all nodes.
+    pub(super) fn flow_bytes(&self) -> usize {
+        self.slots.iter().flatten().map(|node| node.queue.flow_bytes()).sum()
+    }
+
     /// Returns the node of an index.
     pub(super) fn get(&self, node: usize) -> Option<&Node> {
         self.slots.get(node)?.as_ref()
--- a/src/scheduler/rate_limit.rs
+++ b/src/scheduler/rate_limit.rs
@@ -20,6 +20,11 @@
         RateLimits { buckets: BTreeMap::new(), started_at }
     }
 
+    /// Returns the approximate memory of the buckets.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.buckets.len() * size_of::<(usize, TokenBucket)>()
+    }
+
     /// Refills the bucket of a request's volume and returns it.
     fn refilled(&mut self, now: Ms, request: &Request, policy: &QosPolicy) -> &mut TokenBucket {
         let started_at = self.started_at;
