Reject requests whose stated length leaves a rest of the body

Cause: up to 16 capital letters behind a request counted as the begin of a method, whatever they spell.

Change: bytes behind a request must be the begin of a known method, or a method before a target. A full read is continued by 256 bytes.

--- a/crates/cli/tests/platform/bad_clients.rs
+++ b/crates/cli/tests/platform/bad_clients.rs
@@ -1,7 +1,7 @@
 //! Clients that disconnect, and clients that violate HTTP.
 
 use crate::support::http_client::HttpClient;
-use crate::support::http_message::{assert_served, request_bytes};
+use crate::support::http_message::{assert_served, request_bytes, sized_request_bytes};
 use crate::support::node::Behaviour;
 use crate::support::test_cluster::TestCluster;
 use std::io::Write;
@@ -22,7 +22,7 @@
 }
 
 /// Malformed requests; `{path}` and `{fields}` are replaced by a valid path and valid fields.
-const MALFORMED_REQUESTS: [&str; 17] = [
+const MALFORMED_REQUESTS: [&str; 18] = [
     "\0\u{1}\u{2}\u{3}",
     "nonsense\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -37,6 +37,7 @@
     "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Transfer-Encoding: chunked\r\n\r\n4\r\nbody, and more\r\n0\r\n\r\n",
     "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Content-Length: 4\r\n\r\nbody, and more than that",
+    "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Content-Length: 4\r\n\r\nBODYANDMORE",
     "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Content-Length: 400\r\n\r\nless than that",
     "PUT {path} HTTP/1.1\r\nHost: h\r\n{fields}Content-Length: 4\r\nX-Endless: ",
     "",
@@ -67,6 +68,30 @@
     assert_served(cluster.client().request(&request_bytes("good", "read", 0, 900)), "good");
 }
 
+/// Guards against a part of a body that is sent on as the whole where a read ends with the stated length.
+#[test]
+fn wrong_content_length_is_noticed_wherever_a_read_ends() {
+    let cluster = TestCluster::start(1);
+    for read_bytes in [4 << 10, 16 << 10, 32 << 10, 64 << 10] {
+        let request = sized_request_bytes("cut", 0, 900, 0);
+        let head = String::from_utf8(request).unwrap();
+        // The stated end of the request is at the end of a read of this size, and more follows.
+        let head_bytes = head.len() + format!("{read_bytes}").len() - 1;
+        let stated = read_bytes - head_bytes;
+        let head = head.replace("Content-Length: 0", &format!("Content-Length: {stated}"));
+        let length = head.len() + stated;
+        let mut bytes = head.into_bytes();
+        bytes.resize(length, b'b');
+        bytes.extend_from_slice(b"and more");
+        let mut client = cluster.client();
+        client.send(&bytes);
+        if let Some(response) = client.receive() {
+            assert_eq!(response.status(), 400, "{read_bytes}: {response:?}");
+        }
+    }
+    assert_eq!(cluster.nodes[0].request_count(), 0);
+}
+
 #[test]
 fn request_smuggling_is_rejected() {
     let cluster = TestCluster::start(1);
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -228,6 +228,11 @@
     chunks.read(input, MAX_REQUEST_BODY_BYTES).map_err(malformed)
 }
 
+/// Methods of HTTP. A method that is not complete yet must be the start of one of them.
+const METHODS: [&str; 9] = ["GET", "PUT", "POST", "HEAD", "DELETE", "OPTIONS", "PATCH", "TRACE", "CONNECT"];
+/// Maximum length of a method.
+const MAX_METHOD_BYTES: usize = 16;
+
 /// Returns whether the bytes after a request may be the start of another one. If not, the stated length of
 /// the request's body was wrong.
 pub fn may_begin_request(bytes: &[u8]) -> bool {
@@ -236,10 +241,12 @@
         _ => bytes.strip_prefix(b"\r\n").unwrap_or(bytes),
     };
     let method_length = bytes.iter().position(|b| !b.is_ascii_uppercase()).unwrap_or(bytes.len());
-    match &bytes[method_length..] {
-        [] => method_length <= 16,
-        [b' '] => method_length > 0,
-        [b' ', next, ..] => method_length > 0 && *next == b'/',
+    let (method, rest) = bytes.split_at(method_length);
+    let is_method = (1..=MAX_METHOD_BYTES).contains(&method_length);
+    match rest {
+        [] => METHODS.iter().any(|known| known.as_bytes().starts_with(method)),
+        [b' '] => is_method,
+        [b' ', next, ..] => is_method && *next == b'/',
         _ => false,
     }
 }
--- a/crates/platform/src/client_pool.rs
+++ b/crates/platform/src/client_pool.rs
@@ -15,6 +15,9 @@
 use std::io;
 use std::net::TcpStream;
 
+/// Bytes that are read behind the limit of a read.
+const MAX_BYTES_BEHIND_REQUEST: usize = 256;
+
 /// Result of a check for a disconnect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DisconnectCheck {
@@ -136,23 +139,33 @@
         self.connections.len() == 0
     }
 
-    /// Reads at most `max_bytes` of the input that has arrived.
+    /// Reads at most `max_bytes` of the input that has arrived. Where there is more, some bytes are read beyond: bytes
+    /// behind a request show whether its stated length is right, so that a read must not end with a request.
     pub(crate) fn receive(
         &mut self,
         reactor: &mut Reactor,
         key: ConnectionKey,
         max_bytes: usize,
     ) -> InputEvent {
-        let (now, input_age) = (reactor.now(), reactor.input_age());
-        let buffer = &mut self.read_buffer[..max_bytes.min(MAX_BYTES_PER_CLIENT)];
-        let received = self.connections.update(key, |client| client.receive(now, input_age, buffer));
-        let event = received.unwrap_or(InputEvent::Discarded);
+        let total_read = |pool: &ClientPool| pool.get(key).map_or(0, ClientConnection::total_read);
+        let before = total_read(self);
+        let mut event = self.receive_once(reactor, key, max_bytes);
+        if event == InputEvent::Queued && total_read(self) - before >= max_bytes as u64 {
+            event = self.receive_once(reactor, key, MAX_BYTES_BEHIND_REQUEST);
+        }
         if event == InputEvent::DiscardedTooMuch {
             self.stop_reading(reactor, key);
         }
         event
     }
 
+    fn receive_once(&mut self, reactor: &Reactor, key: ConnectionKey, max_bytes: usize) -> InputEvent {
+        let (now, input_age) = (reactor.now(), reactor.input_age());
+        let buffer = &mut self.read_buffer[..max_bytes.min(MAX_BYTES_PER_CLIENT)];
+        let received = self.connections.update(key, |client| client.receive(now, input_age, buffer));
+        received.unwrap_or(InputEvent::Discarded)
+    }
+
     /// Leaves the input of a connection unread until a later turn.
     pub(crate) fn leave_unread(&mut self, now: Ms, key: ConnectionKey) {
         self.connections.update(key, |client| client.leave_unread(now));
