Keep the age of requests that came during a stall

Cause: the age of input holds for one turn, and a new connection's request is read in the next. A second cause, for all connections and for serve: a wait that ends late may have looked at its sources before the stall, so that the turn with the age has no events.

Change: the listener remembers a stall until its queue is empty, and input found at acceptance keeps that age. Poll::wait looks again after a wait that was over 1 ms late.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod resource_limits;
 mod response_matching;
 mod signals;
+mod stalled_host;
 mod startup_errors;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/platform/src/client_pool.rs
+++ b/crates/platform/src/client_pool.rs
@@ -107,11 +107,22 @@
         order.find(may_close).map(|candidate| candidate.key)
     }
 
-    /// Adds a newly accepted connection.
-    pub(crate) fn insert(&mut self, reactor: &mut Reactor, stream: TcpStream, serial: u64) -> io::Result<()> {
+    /// Adds a newly accepted connection. `sent_since`: earliest time at which input that has already arrived may have been
+    /// sent.
+    pub(crate) fn insert(
+        &mut self,
+        reactor: &mut Reactor,
+        stream: TcpStream,
+        serial: u64,
+        sent_since: Ms,
+    ) -> io::Result<()> {
         let (key, stream) =
             reactor.register(ConnectionKind::Client, |poll, key| Stream::accepted(poll, stream, key))?;
-        self.connections.insert(key, ClientConnection::new(stream, serial, reactor.now()));
+        let mut client = ClientConnection::new(stream, serial, reactor.now());
+        if sent_since < reactor.now() && client.has_unread_input() {
+            client.leave_unread(sent_since);
+        }
+        self.connections.insert(key, client);
         reactor.set_timer(reactor.now() + CLIENT_TIMEOUT_MS, Timer::ClientTimeout(key, serial));
         Ok(())
     }
--- a/crates/platform/src/event_loop/clients.rs
+++ b/crates/platform/src/event_loop/clients.rs
@@ -15,9 +15,14 @@
 impl EventLoop {
     /// Accepts a limited number of the waiting connections.
     pub(super) fn accept(&mut self) -> AcceptBatch {
+        let now = self.proxy.now();
+        self.listener.note_stall(now, self.proxy.reactor().input_age());
         for _ in 0..ACCEPT_BATCH_SIZE {
             match self.listener.accept() {
-                Accepted::Connection(stream) => self.proxy.accept_client(stream),
+                Accepted::Connection(stream) => {
+                    let sent_since = self.listener.take_sent_since(now);
+                    self.proxy.accept_client(stream, sent_since);
+                }
                 Accepted::ConnectionFailed => {}
                 Accepted::NoneWaiting => return AcceptBatch::QueueEmpty,
                 // The new client replaces an evicted one.
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -2,7 +2,7 @@
 
 use magpiewick::Ms;
 use magpiewick_engine::AcceptBackoff;
-use magpiewick_transport::{accept_error, AcceptError, Poll, Registered};
+use magpiewick_transport::{accept_error, AcceptError, Poll, Registered, BACKLOG};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
@@ -21,18 +21,48 @@
     OutOfResources(io::Error),
 }
 
+/// Connections that may have come while the process was stalled.
+#[derive(Clone, Copy, Debug)]
+struct StalledConnections {
+    /// Earliest time at which they may have come.
+    since: Ms,
+    /// Number of connections, at most, that came before the stall ended.
+    left: u32,
+}
+
 /// Listening socket until the host closes it.
 pub(crate) struct Listener {
     socket: Option<Registered<TcpListener>>,
     resumes_at: Ms,
     backoff: AcceptBackoff,
+    stalled: Option<StalledConnections>,
 }
 
 impl Listener {
     /// Listens on an address.
     pub(crate) fn bind(poll: &Poll, key: usize, address: SocketAddr, now: Ms) -> io::Result<Listener> {
         let socket = poll.register(magpiewick_transport::listen(address)?, key)?;
-        Ok(Listener { socket: Some(socket), resumes_at: now, backoff: AcceptBackoff::default() })
+        let backoff = AcceptBackoff::default();
+        Ok(Listener { socket: Some(socket), resumes_at: now, backoff, stalled: None })
+    }
+
+    /// Records the age that input may have in this turn of the event loop; 0 where the process was not stalled. The
+    /// operating system queues connections in order, so that those which came during a stall are accepted first.
+    pub(crate) fn note_stall(&mut self, now: Ms, input_age: Ms) {
+        if input_age > 0.0 {
+            self.stalled = Some(StalledConnections { since: now - input_age, left: BACKLOG });
+        }
+    }
+
+    /// Returns the earliest time at which the connection that was just accepted may have sent its first bytes.
+    pub(crate) fn take_sent_since(&mut self, now: Ms) -> Ms {
+        let Some(stalled) = &mut self.stalled else { return now };
+        let since = stalled.since;
+        stalled.left -= 1;
+        if stalled.left == 0 {
+            self.stalled = None;
+        }
+        since
     }
 
     /// Accepts a waiting connection.
@@ -46,6 +76,7 @@
             Err(error) => match accept_error(&error) {
                 AcceptError::Empty => {
                     self.backoff.reset();
+                    self.stalled = None;
                     Accepted::NoneWaiting
                 }
                 AcceptError::ConnectionFailed => Accepted::ConnectionFailed,
--- a/crates/platform/src/proxy/clients.rs
+++ b/crates/platform/src/proxy/clients.rs
@@ -37,8 +37,9 @@
 }
 
 impl Proxy {
-    /// Accepts the connection of a client if it is within the limits or replaces another.
-    pub(crate) fn accept_client(&mut self, stream: TcpStream) {
+    /// Accepts the connection of a client if it is within the limits or replaces another. `sent_since`: earliest time at
+    /// which input that has already arrived may have been sent.
+    pub(crate) fn accept_client(&mut self, stream: TcpStream, sent_since: Ms) {
         if self.clients.is_full() && !self.evict_client() {
             return;
         }
@@ -47,7 +48,7 @@
         }
         let serial = self.reactor.next_serial();
         // A connection that cannot be registered is closed by dropping its stream.
-        _ = self.clients.insert(&mut self.reactor, stream, serial);
+        _ = self.clients.insert(&mut self.reactor, stream, serial, sent_since);
     }
 
     /// Closes the client connection that is first in the order of eviction; returns false where no connection can be
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,7 +25,7 @@
 use std::net::{SocketAddr, TcpListener};
 
 /// Maximum number of connections that the kernel completes before they are accepted.
-const BACKLOG: i32 = 1024;
+pub const BACKLOG: u32 = 1024;
 
 /// Creates a non-blocking listener. Its address can be reused immediately, so that a restarted process is
 /// reachable at the address of the previous one.
@@ -33,7 +33,7 @@
     let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(BACKLOG as i32)?;
     socket.set_nonblocking(true)?;
     Ok(socket.into())
 }
--- a/crates/transport/src/poll.rs
+++ b/crates/transport/src/poll.rs
@@ -5,7 +5,12 @@
 use std::ops::{Deref, DerefMut};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Time by which a wait may exceed its timeout on a machine that is not stalled.
+const WAIT_TOLERANCE: Duration = Duration::from_millis(1);
+/// Limit of the waits in a row that exceed their timeouts.
+const MAX_WAITS: u32 = 4;
 
 /// A level-triggered poller: unread input is reported again by each wait, so no readiness is lost between
 /// calls.
@@ -42,12 +47,23 @@
     /// Waits until a source is ready, another thread calls [`Poll::wake`], or the timeout expires.
     pub fn wait(&self, poll_events: &mut PollEvents, timeout: Option<Duration>) -> io::Result<()> {
         let events = poll_events.events.get_or_insert_with(Events::new);
-        events.clear();
         poll_events.readable.clear();
         poll_events.writable.clear();
-        match self.0.wait(events, timeout) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
-            _ => {}
+        let mut timeout = timeout;
+        for _ in 0..MAX_WAITS {
+            let started = Instant::now();
+            events.clear();
+            match self.0.wait(events, timeout) {
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            let is_late = timeout.is_some_and(|timeout| started.elapsed() > timeout + WAIT_TOLERANCE);
+            if !is_late {
+                break;
+            }
+            // The process was stalled, and its sources were perhaps examined before. Callers treat the sources as
+            // examined now: what came during the stall must not seem to come after it.
+            timeout = Some(Duration::ZERO);
         }
         for event in events.iter() {
             if event.readable {
