--- a/crates/platform/src/proxy/clients.rs
+++ b/crates/platform/src/proxy/clients.rs
@@ -96,36 +96,29 @@
 
     /// Sorts clients with input into the order in which this turn reads them: those whose connections close, then those
     /// whose earlier input is answered, then the others.
-    pub(crate) fn sort_clients_to_read(&self, keys: &mut [ConnectionKey]) {
-        let has = |key, property: fn(&ClientConnection) -> bool| self.clients.get(key).is_some_and(property);
+    pub(crate) fn sort_clients_to_read(&mut self, keys: &mut [ConnectionKey]) {
+        let clients = &self.clients;
+        let has = |key, property: fn(&ClientConnection) -> bool| clients.get(key).is_some_and(property);
         keys.sort_by_key(|key| !has(*key, ClientConnection::is_closing));
         let closing = keys.partition_point(|key| has(*key, ClientConnection::is_closing));
         let (closing, open) = keys.split_at_mut(closing);
-        self.turn.closing_clients.sort(closing, |_| false);
-        self.turn.clients.sort(open, |key| has(key, ClientConnection::has_pipelined_input));
+        self.turn.client_share(true).sort(closing, |_| false);
+        self.turn.client_share(false).sort(open, |key| has(key, ClientConnection::has_pipelined_input));
     }
 
     /// Reads input from a client, unless its next request waits for a turn or this turn has read as much as it may.
     /// Reading further requests of a waiting client would cost each turn more than the requests that it answers.
     pub(crate) fn read_client_in_turn(&mut self, key: ConnectionKey) -> ClientEvent {
         let Some(client) = self.clients.get(key) else { return ClientEvent::None };
-        let share = match client.is_closing() {
-            true => &mut self.turn.closing_clients,
-            false => &mut self.turn.clients,
-        };
-        if client.awaits_turn() || !share.may_read(key) {
+        let (is_closing, before) = (client.is_closing(), client.total_read());
+        if client.awaits_turn() || !self.turn.client_share(is_closing).may_read(key) {
             self.metrics.reads_deferred += 1;
             self.clients.leave_unread(self.reactor.now(), key);
             return ClientEvent::None;
         }
-        let (was_closing, before) = (client.is_closing(), client.total_read());
         let event = self.read_client(key);
         let after = self.clients.get(key).map_or(before, ClientConnection::total_read);
-        let share = match was_closing {
-            true => &mut self.turn.closing_clients,
-            false => &mut self.turn.clients,
-        };
-        share.on_read((after - before) as usize);
+        self.turn.client_share(is_closing).on_read((after - before) as usize);
         event
     }
 
--- a/crates/platform/src/turn_budget.rs
+++ b/crates/platform/src/turn_budget.rs
@@ -26,9 +26,9 @@
 #[derive(Debug)]
 pub(crate) struct TurnBudget {
     /// Connections of clients that send requests.
-    pub clients: ReadShare,
+    clients: ReadShare,
     /// Connections of clients that close.
-    pub closing_clients: ReadShare,
+    closing_clients: ReadShare,
     /// Connections to endpoints.
     pub upstreams: ReadShare,
     rounds: u32,
@@ -68,6 +68,14 @@
         (self.rounds, self.requests_left, self.answers) = (0, MAX_PIPELINED_REQUESTS, 0);
     }
 
+    /// Returns the share of clients whose connections close, or that of the others.
+    pub(crate) fn client_share(&mut self, is_closing: bool) -> &mut ReadShare {
+        match is_closing {
+            true => &mut self.closing_clients,
+            false => &mut self.clients,
+        }
+    }
+
     /// Counts a round of the engine.
     pub(crate) fn on_round(&mut self) {
         self.rounds += 1;
