--- a/crates/cli/tests/floods/event_loop_turns.rs
+++ b/crates/cli/tests/floods/event_loop_turns.rs
@@ -15,8 +15,8 @@
 const BURST: usize = 600;
 /// Time in which a flood gets to its full extent.
 const FLOOD_START: Duration = Duration::from_millis(500);
-/// Time after which a change of the endpoint list counts as told.
-const LIST_TOLD_WITHIN: Duration = Duration::from_secs(6);
+/// Time within which a change of the endpoint list must be applied.
+const LIST_APPLIED_WITHIN: Duration = Duration::from_secs(6);
 /// Longest client timeout, and the time after it by which a host that is shutting down must have ended.
 const LONGEST_TIMEOUT: Duration = Duration::from_secs(3);
 const SHUTDOWN_SLACK: Duration = Duration::from_millis(700);
@@ -73,7 +73,7 @@
 
 /// Guards against a flood that keeps lists, timers, nodes and signals from being handled.
 #[test]
-fn lists_timers_and_signals_are_handled_beside_a_flood() {
+fn endpoint_list_timers_and_signals_are_handled_during_a_flood() {
     let _alone = run_alone();
     let mut cluster = TestCluster::with_limits(1, many_descriptors());
     let flood =
@@ -100,7 +100,7 @@
         if other_node.request_count() > 0 {
             break;
         }
-        assert!(published.elapsed() < LIST_TOLD_WITHIN, "the change was not applied");
+        assert!(published.elapsed() < LIST_APPLIED_WITHIN, "the change was not applied");
     }
 
     // Signals: the host shuts down in time although the flood goes on.
--- a/crates/engine/tests/final_answers.rs
+++ b/crates/engine/tests/final_answers.rs
@@ -121,22 +121,24 @@
     engine.on_outcome(now, request, answer, environment);
 }
 
-fn submit(engine: &mut Engine, environment: &mut Recorder, now: Ms, id: u64, (a, b): (u8, u8)) {
-    let (class, shard) = (usize::from(a % 2), Some(usize::from(b % 2)));
-    let (units, hosts, client_timeout) = (1.0, 1.0, 400.0);
-    let (policy, volume, key, budget_weight, coalesce_with) = (0, 0, None, 1.0, None);
-    let request = Request {
+/// Returns a request of one unit; the engine sets its volume and its key.
+fn request(class: usize, shard: usize) -> Request {
+    Request {
         class,
-        policy,
-        volume,
-        key,
-        units,
-        shard,
-        hosts,
-        client_timeout,
-        budget_weight,
-        coalesce_with,
-    };
+        policy: 0,
+        volume: 0,
+        key: None,
+        units: 1.0,
+        shard: Some(shard),
+        hosts: 1.0,
+        client_timeout: 400.0,
+        budget_weight: 1.0,
+        coalesce_with: None,
+    }
+}
+
+fn submit(engine: &mut Engine, environment: &mut Recorder, now: Ms, id: u64, (a, b): (u8, u8)) {
+    let request = request(usize::from(a % 2), usize::from(b % 2));
     engine.submit(now, IncomingRequest { id, key: u64::from(a % 5), volume: 9, request }, environment);
 }
 
@@ -200,21 +202,7 @@
 fn serve_new_names(engine: &mut Engine, environment: &mut Recorder, ids: std::ops::Range<u64>) {
     for id in ids {
         let now = id as f64 * 10.0;
-        let (client_timeout, units) = (400.0, 1.0);
-        let (class, policy, volume, key, shard) = ((id % 2) as usize, 0, 0, None, Some(0));
-        let (hosts, budget_weight, coalesce_with) = (1.0, 1.0, None);
-        let request = Request {
-            class,
-            policy,
-            volume,
-            key,
-            units,
-            shard,
-            hosts,
-            client_timeout,
-            budget_weight,
-            coalesce_with,
-        };
+        let request = request((id % 2) as usize, 0);
         engine.submit(now, IncomingRequest { id, key: id, volume: id, request }, environment);
         engine.run(now, environment);
         while !environment.in_flight.is_empty() {
--- a/crates/platform/src/proxy/upstreams.rs
+++ b/crates/platform/src/proxy/upstreams.rs
@@ -217,7 +217,7 @@
     }
 
     /// Reads input from an endpoint.
-    pub(crate) fn read_upstream(&mut self, key: ConnectionKey) {
+    fn read_upstream(&mut self, key: ConnectionKey) {
         let now = self.reactor.now();
         let Some(upstream) = self.upstreams.get(key) else { return };
         let serial = upstream.serial();
--- a/crates/platform/src/reactor.rs
+++ b/crates/platform/src/reactor.rs
@@ -16,7 +16,7 @@
 pub(crate) type ConnectionKey = usize;
 
 /// Kind of the connection that a key identifies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionKind {
     /// Connection to the discovery service.
     Discovery,
